A watch that broke is followed by a whole read

Ruled out: relay by peers (the node was cut off from them), the traffic thread's plan (it had what control had).

--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -36,6 +36,8 @@
             Err(SourceError::HistoryGone) => since = None,
             Err(error) => {
                 state.feed_result(feed, Some(&error.to_string()));
+                // A watch that broke may have missed changes that a new one does not tell: read whole again.
+                since = None;
                 wait_after(failures).await;
                 failures += 1;
             }
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -33,8 +33,8 @@
     pub outbox: RefCell<Vec<MemberAction>>,
     /// Tells the members task that the outbox is not empty.
     pub outbox_filled: Notify,
-    /// Since when each feed has failed; `None` while it answers.
-    failing_since: RefCell<[Option<Time>; 2]>,
+    /// Since when each feed has failed, and why it did last; `None` while it answers.
+    failing: RefCell<[Option<(Time, String)>; 2]>,
     /// Whether a planned stop is under way.
     pub stopping: Cell<bool>,
 }
@@ -70,7 +70,7 @@
             membership: RefCell::new(membership),
             outbox: RefCell::default(),
             outbox_filled: Notify::new(),
-            failing_since: RefCell::new([None; 2]),
+            failing: RefCell::default(),
             stopping: Cell::new(false),
         }
     }
@@ -175,11 +175,12 @@
     pub fn feed_result(&self, feed: Feed, cause: Option<&str>) {
         let now = self.now();
         let place = feed as usize;
-        let was_failing = self.failing_since.borrow()[place].is_some();
-        if was_failing == cause.is_some() {
+        let before = self.failing.borrow()[place].clone();
+        if before.as_ref().map(|(_, cause)| cause.as_str()) == cause {
             return;
         }
-        self.failing_since.borrow_mut()[place] = cause.map(|_| now);
+        let since = before.map_or(now, |(since, _)| since);
+        self.failing.borrow_mut()[place] = cause.map(|cause| (since, cause.to_owned()));
         let line = Line::Source {
             feed: feed_name(feed),
             answers: cause.is_none(),
@@ -191,11 +192,9 @@
     /// Whether other nodes should be asked for what the source does not tell.
     pub fn source_lost(&self) -> bool {
         let now = self.now();
-        let failing = self.failing_since.borrow();
-        failing
-            .iter()
-            .flatten()
-            .any(|since| now.since(*since) > SOURCE_LOST)
+        let failing = self.failing.borrow();
+        let mut lost = failing.iter().flatten();
+        lost.any(|(since, _)| now.since(*since) > SOURCE_LOST)
     }
 
     // ------------------------------------------------------------------------
