One home per prefix over all zones; pieces are wanted in the zone of that home

Ruled out: less affinity (re-reading is the larger price per request: 13.3 k tokens against 7.5 MB).

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -15,8 +15,10 @@
 
 /// What one running request adds to the expected wait, in prompt tokens.
 const RUNNING_TOKENS: f64 = 250.0;
-/// What a target in another zone has to be better by, in prompt tokens.
-const FAR_TOKENS: f64 = 2_500.0;
+/// What a megabyte of inputs that has to cross zones is weighed with, in prompt tokens.
+const FAR_TOKENS_PER_MB: f64 = 400.0;
+/// What a target in another zone has to be better by in any case, in prompt tokens.
+const FAR_TOKENS: f64 = 200.0;
 /// What a target in another zone has to be better by, as a share of the time of an answer.
 const FAR_SHARE: f64 = 0.5;
 /// Prompt tokens read in a millisecond until something has been measured.
@@ -76,6 +78,8 @@
     pub prompt_tokens: u32,
     /// Where its inputs lie; empty for this node's own zone.
     pub zone: String,
+    /// The size of its inputs, in bytes.
+    pub input_bytes: u64,
     /// Targets that failed it already.
     pub avoid: Vec<TargetKey>,
 }
@@ -232,6 +236,14 @@
         })
     }
 
+    /// The zone of the target that a call would go to now.
+    pub fn likely_zone(&mut self, now: Time, need: &Need) -> Option<String> {
+        match self.choose(now, need) {
+            Choose::Send(chosen) => Some(self.targets.get(chosen.target)?.entry.zone.clone()),
+            Choose::Busy(_) => None,
+        }
+    }
+
     /// The zone in which a call should be answered.
     fn zone<'a>(&'a self, need: &'a Need) -> &'a str {
         if need.zone.is_empty() {
@@ -259,7 +271,8 @@
 
     fn choose_engine(&mut self, now: Time, need: &Need, memory: u64, usable: &[TargetKey]) -> TargetKey {
         let zone = self.zone(need).to_owned();
-        let home = self.prefix_home(need.prefix, &zone, usable);
+        let home = self.prefix_home(need.prefix, usable);
+        let crossing = FAR_TOKENS + FAR_TOKENS_PER_MB * need.input_bytes as f64 / 1e6;
         let score = |key: &TargetKey| {
             let record = &self.targets[*key];
             let far = if record.entry.zone == zone {
@@ -294,16 +307,15 @@
         f64::from(need.prompt_tokens.saturating_sub(cached))
     }
 
-    /// The target of a zone at which all nodes let calls with the same prefix meet.
-    fn prefix_home(&self, prefix: u64, zone: &str, usable: &[TargetKey]) -> Option<TargetKey> {
+    /// The target at which all nodes let calls with the same prefix meet. Zones do not matter: reading a long
+    /// prefix in each zone costs more than inputs that cross them.
+    fn prefix_home(&self, prefix: u64, usable: &[TargetKey]) -> Option<TargetKey> {
         if prefix == 0 {
             return None;
         }
         let place = |key: &&TargetKey| {
-            let record = &self.targets[**key];
-            let far = record.entry.zone != zone;
-            let member = rendezvous::text_key(&record.entry.id) as u64;
-            (far, rendezvous::place(u128::from(prefix), member))
+            let member = rendezvous::text_key(&self.targets[**key].entry.id) as u64;
+            rendezvous::place(u128::from(prefix), member)
         };
         usable.iter().min_by_key(place).copied()
     }
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -158,6 +158,8 @@
     pub sending: Cell<bool>,
     /// Targets that failed it.
     pub avoid: RefCell<Vec<TargetKey>>,
+    /// Where its inputs lie; empty before its stages are done.
+    pub input_zone: RefCell<String>,
     /// The configuration.
     pub catalog: Arc<Catalog>,
 }
@@ -283,6 +285,7 @@
         history: Cell::default(),
         sending: Cell::new(false),
         avoid: RefCell::default(),
+        input_zone: RefCell::default(),
         catalog: taken.catalog,
     }
 }
@@ -387,14 +390,47 @@
             prefix: if affinity { self.head.shared_prefix() } else { 0 },
             prefix_tokens: self.head.shared_tokens(),
             prompt_tokens: self.head.tokens.0,
-            zone: String::new(),
+            zone: self.input_zone.borrow().clone(),
+            input_bytes: self.input_bytes(),
             avoid: self.avoid.borrow().clone(),
         }
     }
 
-    /// The zone in which it will most likely be answered.
+    /// The zone in which it will most likely be answered; its stages' results should lie there.
     pub fn zone(&self) -> String {
-        self.traffic.shared.settings.zone.clone()
+        let need = self.need();
+        let mut forwarder = self.traffic.forwarder.borrow_mut();
+        let likely = forwarder.likely_zone(self.traffic.now(), &need);
+        likely.unwrap_or_else(|| self.traffic.shared.settings.zone.clone())
+    }
+
+    /// The size of what the call itself reads of its stages, in bytes.
+    fn input_bytes(&self) -> u64 {
+        let stages = &self.route.stages;
+        let is_last = |stage: usize| !stages.iter().any(|other| other.needs.contains(&stage));
+        let last = (0..stages.len()).filter(|stage| is_last(*stage));
+        last.map(|stage| {
+            let pieces = self.head.pieces.get(stage).copied().unwrap_or(1);
+            stages[stage].bytes * u64::from(pieces)
+        })
+        .sum()
+    }
+
+    /// Notes where its inputs lie: in the zone of most of their makers.
+    pub fn note_inputs(&self, handles: &[String]) {
+        let plan = self.traffic.plan();
+        let mut zones: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
+        for handle in handles {
+            let address = handle.split('/').next().unwrap_or_default();
+            let maker = plan.targets.values().find(|entry| entry.address == address);
+            if let Some(maker) = maker {
+                *zones.entry(&maker.zone).or_default() += 1;
+            }
+        }
+        let most = zones.into_iter().max_by_key(|(_, count)| *count);
+        if let Some((zone, _)) = most {
+            zone.clone_into(&mut self.input_zone.borrow_mut());
+        }
     }
 
     /// The expected time of the call itself, without its stages.
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -109,6 +109,7 @@
     results: Results,
 ) -> Result<Outcome, CallFailure> {
     let inputs = stages.outputs();
+    call.note_inputs(&inputs);
     let mut retry = "";
     loop {
         let chosen = choose(call).await?;
