--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -275,11 +275,7 @@
         let crossing = FAR_TOKENS + FAR_TOKENS_PER_MB * need.input_bytes as f64 / 1e6;
         let score = |key: &TargetKey| {
             let record = &self.targets[*key];
-            let far = if record.entry.zone == zone {
-                0.0
-            } else {
-                FAR_TOKENS
-            };
+            let far = if record.entry.zone == zone { 0.0 } else { crossing };
             let unread = self.unread_tokens(now, need, memory, *key, home);
             let running = RUNNING_TOKENS * f64::from(record.in_flight);
             let failing = 20_000.0 * record.failing;
