--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -524,8 +524,9 @@
                 self.end_order(item.order, OrderEnd::TooLate(come_back));
             }
             PieceOutcome::NoRoom => {
+                // That is no fault of the piece: it waits for room elsewhere.
                 self.runner_waits(&call.runner, now + FULL_WAIT);
-                self.requeue_item(item, true);
+                self.requeue_item(item, false);
             }
             PieceOutcome::Failed => self.requeue_item(item, true),
         }
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -136,6 +136,21 @@
         /// Milliseconds that it took.
         took_ms: u64,
     },
+    /// A call with pieces of several requests ended at a pool's target.
+    PoolCall {
+        /// The target's id.
+        target: &'a str,
+        /// Its pieces.
+        pieces: usize,
+        /// How many of them were made.
+        made: usize,
+        /// Pieces that still wait for the pool.
+        waiting: u32,
+        /// What became of the call.
+        end: &'a str,
+        /// Milliseconds that it took.
+        took_ms: u64,
+    },
     /// A call was sent to a target.
     Sent {
         /// The call's id.
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -31,6 +31,8 @@
 const PATIENCE: f64 = 5.0;
 /// But never before this.
 const PATIENCE_LEAST: Span = Span::from_millis(250);
+/// Nor before this share of its aim: a busy target is no silent one.
+const PATIENCE_SHARE: f64 = 0.5;
 
 /// What became of a call that was sent.
 pub enum Outcome {
@@ -325,6 +327,7 @@
         return duration(left);
     }
     let usual = call.first_time().scale(PATIENCE).max(PATIENCE_LEAST);
+    let usual = usual.max(call.route.aim.scale(PATIENCE_SHARE));
     duration(usual.min(left))
 }
 
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -3,8 +3,9 @@
 use super::Traffic;
 use super::connections::SendFailure;
 use crate::edges::PieceAsk;
+use crate::event_log::Line;
 use barleyspool_core::{
-    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceQueue, PoolSpec, Span,
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Span,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -134,14 +135,48 @@
 }
 
 async fn run_call(traffic: Rc<Traffic>, pool: Rc<Pool>, call: PieceCall) {
-    let key = call.call;
+    let (key, target, pieces) = (call.call, call.id.clone(), call.items.len());
+    let began = traffic.now();
     let outcome = match tokio::time::timeout(CALL_TIMEOUT, send_call(&traffic, &pool, call)).await {
         Ok(outcome) => outcome,
         Err(_) => CallOutcome::BrokenOff,
     };
+    let now = traffic.now();
+    let line = Line::PoolCall {
+        target: &target,
+        pieces,
+        made: made(&outcome),
+        waiting: pool.queue.borrow().waiting(),
+        end: outcome_name(&outcome),
+        took_ms: now.since(began).as_millis(),
+    };
+    if matches!(outcome, CallOutcome::Done(_)) {
+        traffic.log.write_good(now, &line);
+    } else {
+        traffic.log.write(now, &line);
+    }
     end_call(&traffic, &pool, key, outcome);
 }
 
+fn made(outcome: &CallOutcome) -> usize {
+    match outcome {
+        CallOutcome::Done(pieces) => pieces
+            .iter()
+            .filter(|piece| matches!(piece, PieceOutcome::Made(_)))
+            .count(),
+        _ => 0,
+    }
+}
+
+fn outcome_name(outcome: &CallOutcome) -> &'static str {
+    match outcome {
+        CallOutcome::Done(_) => "answered",
+        CallOutcome::Refused { .. } => "refused",
+        CallOutcome::Unreachable => "unreachable",
+        CallOutcome::BrokenOff => "broken_off",
+    }
+}
+
 fn end_call(traffic: &Traffic, pool: &Pool, key: CallKey, outcome: CallOutcome) {
     pool.queue.borrow_mut().call_ended(traffic.now(), key, outcome);
     pool.tell_ended();
