A stage's due time counts the stages that come after it

Cause: a large first stage that only the engine waits for was due as early as the head of a chain of three. Kept, since it is what the due time means.

--- a/crates/barleyspool_core/src/forward/stage_run.rs
+++ b/crates/barleyspool_core/src/forward/stage_run.rs
@@ -149,15 +149,13 @@
             .collect()
     }
 
-    /// How many stages of the longest chain are not complete.
-    pub fn depth_left(&self) -> usize {
-        let mut depth = vec![0; self.specs.len()];
-        for stage in 0..self.specs.len() {
-            let before = self.specs[stage].needs.iter().map(|needed| depth[*needed]).max();
-            let own = usize::from(!matches!(self.progress[stage], Progress::Done(_)));
-            depth[stage] = before.unwrap_or(0) + own;
-        }
-        depth.into_iter().max().unwrap_or(0)
+    /// How many stages come after `stage` on the longest chain from it to the call.
+    pub fn depth_after(&self, stage: usize) -> usize {
+        let dependents = (stage + 1..self.specs.len()).filter(|&other| self.specs[other].needs.contains(&stage));
+        dependents
+            .map(|other| 1 + self.depth_after(other))
+            .max()
+            .unwrap_or(0)
     }
 
     fn is_last(&self, stage: usize) -> bool {
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -27,7 +27,7 @@
     let mut working = FuturesUnordered::new();
     loop {
         for ready in stages.start_ready() {
-            let depth = stages.depth_left();
+            let depth = stages.depth_after(ready.stage);
             working.push(make_stage(call, ready, depth));
         }
         if stages.is_complete() {
@@ -115,7 +115,7 @@
     let spec = &call.route.stages[ready.stage];
     let first = ready.inputs.is_empty() && spec.needs.is_empty();
     // The stages after this one and the call itself need their time too.
-    let later = Span(call.stage_time().0 * depth.saturating_sub(1) as u64) + call.first_time();
+    let later = Span(call.stage_time().0 * depth as u64) + call.first_time();
     PieceOrder {
         request: call.head.id.clone(),
         stage: ready.stage as u32,
