--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -27,7 +27,7 @@
 pub use forwarder::{Choose, Chosen, ForwardSettings, Forwarder, Need, SendKey};
 pub use piece_queue::{
     CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PieceQueue,
-    PieceRunner,
+    PieceRunner, handle_address,
 };
 pub use plan::{ForwardPlan, MemberView};
 pub use prefix_memory::PrefixMemory;
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -9,7 +9,7 @@
 use crate::{Span, Time};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 slotmap::new_key_type! {
     /// An order that is waiting or at work.
@@ -32,8 +32,17 @@
 const OUT_FIRST: Span = Span::from_millis(300);
 /// And at the most.
 const OUT_LONGEST: Span = Span::from_secs(4);
-/// How long a runner that said it is full gets nothing.
-const FULL_WAIT: Span = Span::from_millis(30);
+/// How long a runner that said it is full gets nothing, the first time.
+const FULL_FIRST: Span = Span::from_millis(25);
+/// And at the most.
+const FULL_LONGEST: Span = Span::from_millis(400);
+/// How long a runner without room is reckoned to have none: results of which this node does not know, since
+/// another node owned the pool before, are freed or expire meanwhile.
+const NO_ROOM: Span = Span::from_millis(250);
+/// The part of a runner's room that is still tried after it said that it has none.
+const NO_ROOM_SHARE: u64 = 16;
+/// The span over which the rate of made pieces is measured.
+const RATE_SPAN: Span = Span::from_millis(1000);
 /// A slow runner is tried again after this time.
 const SLOW_TRIAL: Span = Span::from_millis(1500);
 /// Pieces of priority r are taken as if they were due this much later, times r.
@@ -147,6 +156,8 @@
     pub kept: u64,
     out_until: Time,
     out_for: Span,
+    full_for: Span,
+    no_room_until: Time,
     measured: Time,
 }
 
@@ -193,6 +204,8 @@
     runners: BTreeMap<String, PieceRunner>,
     kept: HashMap<String, Kept>,
     ended: Vec<(OrderKey, OrderEnd)>,
+    /// When pieces were made lately.
+    made: VecDeque<Time>,
     unneeded: Vec<String>,
     /// Time of calls over what the specification says, over all runners.
     pace: f64,
@@ -217,6 +230,7 @@
             let runner = self.runners.entry(id.clone()).or_insert_with(|| PieceRunner {
                 slowness: 1.0,
                 out_for: OUT_FIRST,
+                full_for: FULL_FIRST,
                 ..PieceRunner::default()
             });
             runner.entry = entry.clone();
@@ -304,9 +318,22 @@
             / usable as u64;
         let last = more.min(u64::from(self.spec.batch)) as u32;
         let queue = self.call_time(self.spec.batch).scale((rounds - 1.0).max(0.0));
+        let queue = queue.max(self.measured_wait(now));
         Span(busy) + queue + self.call_time(last)
     }
 
+    /// How long what waits now takes at the rate at which pieces were made lately. It counts only when more
+    /// waits than a few calls hold: an idle pool makes few pieces because few come.
+    fn measured_wait(&self, now: Time) -> Span {
+        let waiting = self.waiting();
+        if waiting <= self.spec.batch {
+            return Span::ZERO;
+        }
+        let made = self.made.iter().filter(|at| now.since(**at) <= RATE_SPAN).count();
+        let rate = made.max(1) as f64 / RATE_SPAN.as_secs();
+        Span((f64::from(waiting) / rate * 1e6) as u64)
+    }
+
     /// The expected time of a call with `pieces` pieces.
     pub fn call_time(&self, pieces: u32) -> Span {
         (self.spec.call + Span(self.spec.item.0 * u64::from(pieces))).scale(self.pace)
@@ -393,7 +420,7 @@
             .runners
             .get(runner)
             .map_or(String::new(), |runner| runner.entry.zone.clone());
-        let mut room = self.room(runner);
+        let mut room = self.room(now, runner);
         let mut waiting: Vec<OrderKey> = self
             .orders
             .iter()
@@ -431,9 +458,15 @@
         items
     }
 
-    fn room(&self, runner: &str) -> u64 {
-        let kept = self.runners.get(runner).map_or(0, |runner| runner.kept);
-        self.spec.room.saturating_sub(kept)
+    /// What a runner still has room for. Small results, of which many calls fit in, are always tried.
+    fn room(&self, now: Time, id: &str) -> u64 {
+        let Some(runner) = self.runners.get(id) else { return 0 };
+        let free = self.spec.room.saturating_sub(runner.kept);
+        if now < runner.no_room_until {
+            free.min(self.spec.room / NO_ROOM_SHARE)
+        } else {
+            free
+        }
     }
 
     fn start_call(&mut self, now: Time, runner: String, items: Vec<PieceItem>) -> PieceCall {
@@ -477,7 +510,7 @@
         match outcome {
             CallOutcome::Done(outcomes) => self.call_done(now, &call, outcomes),
             CallOutcome::Refused { misdirected: false } => {
-                self.runner_waits(&call.runner, now + FULL_WAIT);
+                self.runner_full(now, &call.runner);
                 self.requeue(&call, false);
             }
             CallOutcome::Refused { misdirected: true } | CallOutcome::Unreachable => {
@@ -498,6 +531,7 @@
             runner.slowness += GAIN * (relative - runner.slowness);
             runner.measured = now;
             runner.out_for = OUT_FIRST;
+            runner.full_for = FULL_FIRST;
         }
         // The whole pool's pace moves slowly and little: one slow runner must not look normal.
         self.pace = (self.pace * (1.0 + 0.02 * (relative.min(1.5) - 1.0))).clamp(0.3, 3.0);
@@ -514,7 +548,7 @@
             PieceOutcome::Made(handle) => {
                 let bytes = self.orders.get(item.order).map_or(0, |order| order.order.bytes);
                 self.keep(now, &call.runner, &handle, bytes);
-                if !known || !self.piece_made(item, &handle) {
+                if !known || !self.piece_made(now, item, &handle) {
                     self.unneeded.push(handle);
                 }
             }
@@ -525,7 +559,9 @@
             }
             PieceOutcome::NoRoom => {
                 // That is no fault of the piece: it waits for room elsewhere.
-                self.runner_waits(&call.runner, now + FULL_WAIT);
+                if let Some(runner) = self.runners.get_mut(&call.runner) {
+                    runner.no_room_until = now + NO_ROOM;
+                }
                 self.requeue_item(item, false);
             }
             PieceOutcome::Failed => self.requeue_item(item, true),
@@ -533,7 +569,7 @@
     }
 
     /// Notes a result; false when the piece had one already.
-    fn piece_made(&mut self, item: &PieceItem, handle: &str) -> bool {
+    fn piece_made(&mut self, now: Time, item: &PieceItem, handle: &str) -> bool {
         let Some(order) = self.orders.get_mut(item.order) else {
             return false;
         };
@@ -546,6 +582,7 @@
             Piece::InCall => {}
         }
         *piece = Piece::Made(handle.to_owned());
+        self.made.push_back(now);
         order.made += 1;
         if order.made as usize == order.pieces.len() {
             let handles = order.pieces.iter().map(|piece| match piece {
@@ -652,9 +689,10 @@
     // ------------------------------------------------------------------------
     // Runners
 
-    fn runner_waits(&mut self, id: &str, until: Time) {
+    fn runner_full(&mut self, now: Time, id: &str) {
         if let Some(runner) = self.runners.get_mut(id) {
-            runner.out_until = runner.out_until.max(until);
+            runner.out_until = runner.out_until.max(now + runner.full_for);
+            runner.full_for = FULL_LONGEST.min(runner.full_for + runner.full_for);
         }
     }
 
@@ -697,15 +735,22 @@
     pub fn take_unneeded(&mut self) -> Vec<(String, String, Vec<String>)> {
         let mut by_maker: BTreeMap<String, (String, Vec<String>)> = BTreeMap::new();
         for handle in std::mem::take(&mut self.unneeded) {
-            let Some(kept) = self.kept.remove(&handle) else {
+            let kept = self.kept.remove(&handle);
+            let maker = match &kept {
+                Some(kept) => Some(kept.runner.clone()),
+                // Made for another owner of the pool; the handle tells by whom.
+                None => self.maker_of(&handle),
+            };
+            let Some(id) = maker else { continue };
+            let Some(runner) = self.runners.get_mut(&id) else {
                 continue;
             };
-            if let Some(runner) = self.runners.get_mut(&kept.runner) {
+            if let Some(kept) = kept {
                 runner.kept = runner.kept.saturating_sub(kept.bytes);
-                let address = runner.entry.address.clone();
-                let maker = by_maker.entry(kept.runner).or_insert((address, Vec::new()));
-                maker.1.push(handle);
             }
+            let address = runner.entry.address.clone();
+            let maker = by_maker.entry(id).or_insert((address, Vec::new()));
+            maker.1.push(handle);
         }
         by_maker
             .into_iter()
@@ -713,12 +758,21 @@
             .collect()
     }
 
+    fn maker_of(&self, handle: &str) -> Option<String> {
+        let address = handle_address(handle);
+        let maker = self.runners.iter().find(|(_, runner)| runner.entry.address == address);
+        maker.map(|(id, _)| id.clone())
+    }
+
     /// Whether results wait to be freed.
     pub fn has_unneeded(&self) -> bool {
         !self.unneeded.is_empty()
     }
 
     fn expire_kept(&mut self, now: Time) {
+        while self.made.front().is_some_and(|at| now.since(*at) > RATE_SPAN) {
+            self.made.pop_front();
+        }
         let runners = &mut self.runners;
         self.kept.retain(|_, kept| {
             let expired = now > kept.until;
@@ -735,6 +789,11 @@
     }
 }
 
+/// The address of the target that made a result: a handle names it before its first slash.
+pub fn handle_address(handle: &str) -> &str {
+    handle.split('/').next().unwrap_or_default()
+}
+
 fn overdue_at(call: &Call) -> Time {
     call.started + call.expected.scale(PATIENCE).max(call.expected + PATIENCE_LEAST)
 }
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -10,7 +10,7 @@
 use crate::event_log::Line;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, Verdict,
+    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, Verdict, handle_address,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -421,7 +421,7 @@
         let plan = self.traffic.plan();
         let mut zones: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
         for handle in handles {
-            let address = handle.split('/').next().unwrap_or_default();
+            let address = handle_address(handle);
             let maker = plan.targets.values().find(|entry| entry.address == address);
             if let Some(maker) = maker {
                 *zones.entry(&maker.zone).or_default() += 1;
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -22,7 +22,7 @@
 /// A call without an answer is given up after this time.
 const CALL_TIMEOUT: Duration = Duration::from_secs(8);
 /// How long results wait to be freed together with others.
-const FREE_DELAY: Duration = Duration::from_millis(40);
+const FREE_DELAY: Duration = Duration::from_millis(10);
 /// How long a pool without work sleeps.
 const IDLE: Duration = Duration::from_secs(1);
 
