A target's record of failures fades; tests of the forwarding core and of membership

Cause: a plain target that failed once was passed over for ever while another of its zone was idle (found by forward_choice::a_target_that_failed_is_left_out_and_tried_again_later, red before). The feed cursor moved into the core with its test.

--- /dev/null
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -0,0 +1,54 @@
+//! Where a node stands in a feed of the platform: what to ask next, and when.
+
+use crate::{Revision, Span};
+
+/// The first wait after an error.
+const RETRY_FIRST: Span = Span::from_millis(60);
+/// The longest.
+const RETRY_LONGEST: Span = Span::from_millis(600);
+
+/// What to ask of a feed next.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum FeedStep {
+    /// Read it whole.
+    Read,
+    /// Wait for changes after this revision.
+    Watch(Revision),
+}
+
+/// Where a node stands in a feed.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedCursor {
+    since: Option<Revision>,
+    failures: u32,
+}
+
+impl FeedCursor {
+    /// What to ask next.
+    pub fn next_step(&self) -> FeedStep {
+        match self.since {
+            Some(since) => FeedStep::Watch(since),
+            None => FeedStep::Read,
+        }
+    }
+
+    /// An answer came; it stands at `at`. A revision never goes back.
+    pub fn answered(&mut self, at: Revision) {
+        self.failures = 0;
+        self.since = Some(self.since.map_or(at, |since| since.max(at)));
+    }
+
+    /// The platform has forgotten what came after the revision asked for.
+    pub fn history_gone(&mut self) {
+        self.since = None;
+    }
+
+    /// The question failed; returns the longest wait before the next. A watch that broke may have missed
+    /// changes that a new one does not tell, so everything is read again.
+    pub fn failed(&mut self) -> Span {
+        self.since = None;
+        let doubled = Span(RETRY_FIRST.0 << self.failures.min(6));
+        self.failures += 1;
+        doubled.min(RETRY_LONGEST)
+    }
+}
--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -21,6 +21,12 @@
 const FAR_TOKENS: f64 = 200.0;
 /// What a target in another zone has to be better by, as a share of the time of an answer.
 const FAR_SHARE: f64 = 0.5;
+/// What an engine that fails every call has to be better by, in prompt tokens.
+const FAILING_TOKENS: f64 = 20_000.0;
+/// What a plain target that fails every call has to be better by, in times of an answer.
+const FAILING_TIMES: f64 = 4.0;
+/// Differences in the time of an answer below this share say nothing.
+const SCORE_STEP: f64 = 0.1;
 /// Prompt tokens read in a millisecond until something has been measured.
 const FIRST_RATE: f64 = 40.0;
 /// The time of an answer until something has been measured.
@@ -255,15 +261,17 @@
 
     fn choose_plain(&mut self, now: Time, need: &Need, usable: &[TargetKey]) -> TargetKey {
         let zone = self.zone(need).to_owned();
-        let failing = |key: &TargetKey| self.targets[*key].failing;
+        let failing = |key: &TargetKey| self.targets[*key].failing_now(now);
         let least_failing = usable.iter().map(failing).fold(1.0, f64::min);
         let score = |key: &TargetKey| {
             let record = &self.targets[*key];
             let slots = f64::from(record.entry.slots.max(1));
             let load = f64::from(record.in_flight) * self.members as f64 / slots;
             let far = if record.entry.zone == zone { 0.0 } else { FAR_SHARE };
-            let failing = 4.0 * (record.failing - least_failing);
-            record.slowness_now(now) * (1.0 + load) + far + failing
+            let failing = FAILING_TIMES * (record.failing_now(now) - least_failing);
+            let score = record.slowness_now(now) * (1.0 + load) + far + failing;
+            // Small differences say nothing; without this an old failure would count for ever.
+            (score / SCORE_STEP).floor()
         };
         let scores: Vec<f64> = usable.iter().map(score).collect();
         self.least(usable, &scores)
@@ -278,7 +286,7 @@
             let far = if record.entry.zone == zone { 0.0 } else { crossing };
             let unread = self.unread_tokens(now, need, memory, *key, home);
             let running = RUNNING_TOKENS * f64::from(record.in_flight);
-            let failing = 20_000.0 * record.failing;
+            let failing = FAILING_TOKENS * record.failing_now(now);
             (record.unread_tokens + unread + running) * record.slowness_now(now) + far + failing
         };
         let scores: Vec<f64> = usable.iter().map(score).collect();
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -8,6 +8,7 @@
 
 mod call_head;
 mod catalog;
+mod feed_cursor;
 mod forwarder;
 mod piece_queue;
 mod plan;
@@ -24,6 +25,7 @@
     CallerLimits, Catalog, CatalogDocument, CatalogFault, EngineSpec, ForwardService, KeyHolder, PoolSpec,
     Route, RouteKind, Share, StageSpec,
 };
+pub use feed_cursor::{FeedCursor, FeedStep};
 pub use forwarder::{Choose, Chosen, ForwardSettings, Forwarder, Need, SendKey};
 pub use piece_queue::{
     CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PieceQueue,
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -460,7 +460,9 @@
 
     /// What a runner still has room for. Small results, of which many calls fit in, are always tried.
     fn room(&self, now: Time, id: &str) -> u64 {
-        let Some(runner) = self.runners.get(id) else { return 0 };
+        let Some(runner) = self.runners.get(id) else {
+            return 0;
+        };
         let free = self.spec.room.saturating_sub(runner.kept);
         if now < runner.no_room_until {
             free.min(self.spec.room / NO_ROOM_SHARE)
@@ -760,7 +762,10 @@
 
     fn maker_of(&self, handle: &str) -> Option<String> {
         let address = handle_address(handle);
-        let maker = self.runners.iter().find(|(_, runner)| runner.entry.address == address);
+        let maker = self
+            .runners
+            .iter()
+            .find(|(_, runner)| runner.entry.address == address);
         maker.map(|(id, _)| id.clone())
     }
 
--- a/crates/barleyspool_core/src/forward/stage_run.rs
+++ b/crates/barleyspool_core/src/forward/stage_run.rs
@@ -151,7 +151,8 @@
 
     /// How many stages come after `stage` on the longest chain from it to the call.
     pub fn depth_after(&self, stage: usize) -> usize {
-        let dependents = (stage + 1..self.specs.len()).filter(|&other| self.specs[other].needs.contains(&stage));
+        let dependents =
+            (stage + 1..self.specs.len()).filter(|&other| self.specs[other].needs.contains(&stage));
         dependents
             .map(|other| 1 + self.depth_after(other))
             .max()
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -21,6 +21,8 @@
 const SLOW_RANGE: (f64, f64) = (0.25, 20.0);
 /// What a target's slowness loses per second without a measurement, so that it is tried again.
 const SLOW_FADE: f64 = 0.85;
+/// What a target's share of failures loses per second without a measurement.
+const FAILING_FADE: f64 = 0.4;
 
 /// One target, with what this node has seen of it.
 #[derive(Clone, Debug)]
@@ -88,6 +90,12 @@
         1.0 + (self.slowness - 1.0) * SLOW_FADE.powf(idle)
     }
 
+    /// How often it is to be reckoned to fail now; like slowness, a record fades, so that it is tried again.
+    pub fn failing_now(&self, now: Time) -> f64 {
+        let idle = now.since(self.measured).as_secs().min(60.0);
+        self.failing * FAILING_FADE.powf(idle)
+    }
+
     /// It answered; `relative` is the time it took over the time that was expected.
     pub fn answered(
         &mut self,
@@ -110,6 +118,7 @@
     pub fn failed(&mut self, now: Time, certain: bool, chart: &Chart<TargetPhase, TargetEvent>) -> bool {
         self.streak += 1;
         self.failing += GAIN * (1.0 - self.failing);
+        self.measured = now;
         let out = certain || self.streak >= STREAK || self.phase == TargetPhase::Trial;
         if out && chart.step(&mut self.phase, TargetEvent::Failed) {
             self.out_until = now + self.out_for;
--- /dev/null
+++ b/crates/barleyspool_core/tests/forward_catalog.rs
@@ -0,0 +1,172 @@
+//! Routes, services, keys and versions of forwarded calls.
+
+use barleyspool_core::{
+    Catalog, CatalogDocument, CatalogFault, CatalogStore, FeedCursor, FeedStep, ForwardService, KeyHolder,
+    Offered, PoolSpec, Revision, Route, Share, StageSpec, TargetChange, TargetEntry, TargetStore,
+};
+
+fn route(name: &str, host: &str, path: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path: path.to_owned(),
+        shares: vec![Share {
+            service: "plain".to_owned(),
+            weight: 1,
+        }],
+        ..Route::default()
+    }
+}
+
+fn document(version: u64, routes: Vec<Route>) -> CatalogDocument {
+    let plain = ForwardService {
+        name: "plain".to_owned(),
+        ..ForwardService::default()
+    };
+    let pool = ForwardService {
+        name: "pool".to_owned(),
+        pool: Some(PoolSpec::default()),
+        ..ForwardService::default()
+    };
+    CatalogDocument {
+        version: Revision(version),
+        routes,
+        services: vec![plain, pool],
+        ..CatalogDocument::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let catalog = Catalog::accept(document(1, routes)).expect("a right document");
+    let name = |host: &str, path: &str| catalog.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/x/y/z/1").as_deref(), Some("long"));
+    assert_eq!(name("a.example", "/x/yy").as_deref(), Some("short"));
+    assert_eq!(name("A.Example:8080", "/x/y/").as_deref(), Some("long"));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+#[test]
+fn a_wrong_document_is_refused_whole_with_every_fault() {
+    let mut wrong = route("wrong", "a.example", "no-slash");
+    wrong.shares[0].service = "nobody".to_owned();
+    wrong.stages = vec![StageSpec {
+        service: "plain".to_owned(),
+        needs: vec![0],
+        bytes: 1,
+    }];
+    let faults = Catalog::accept(document(1, vec![wrong])).expect_err("four faults");
+    assert_eq!(faults.len(), 4, "{faults:?}");
+    assert!(
+        faults
+            .iter()
+            .any(|fault| matches!(fault, CatalogFault::StageOrder { .. }))
+    );
+    assert!(
+        faults
+            .iter()
+            .any(|fault| matches!(fault, CatalogFault::NotAPool { .. }))
+    );
+    assert!(
+        faults[0].to_string().contains("wrong"),
+        "the route is named: {}",
+        faults[0]
+    );
+}
+
+#[test]
+fn versions_only_rise_and_a_wrong_one_leaves_the_last() {
+    let mut store = CatalogStore::default();
+    let good = |version| document(version, vec![route("r", "a.example", "/")]);
+    assert_eq!(store.offer(good(5)), Offered::Accepted);
+    assert_eq!(store.offer(good(5)), Offered::Old);
+    assert_eq!(store.offer(good(4)), Offered::Old);
+    let mut wrong = good(9);
+    wrong.routes[0].shares.clear();
+    assert!(matches!(store.offer(wrong), Offered::Bad(_)));
+    assert_eq!(store.version(), Revision(5));
+    assert_eq!(store.offer(good(8)), Offered::Accepted);
+}
+
+#[test]
+fn a_key_that_was_taken_away_belongs_to_nobody() {
+    let mut with_key = document(1, vec![route("r", "a.example", "/")]);
+    with_key.holders = vec![KeyHolder {
+        name: "ministry".to_owned(),
+        keys: vec!["k1".to_owned(), "k2".to_owned()],
+        rank: Some(1),
+    }];
+    let mut without = with_key.clone();
+    without.version = Revision(2);
+    without.holders[0].keys.pop();
+    let mut store = CatalogStore::default();
+    store.offer(with_key);
+    let holder = |store: &CatalogStore, key: &str| {
+        let catalog = store.catalog.as_ref().expect("a configuration");
+        catalog.holder(key).map(|holder| holder.name.clone())
+    };
+    assert_eq!(holder(&store, "k2").as_deref(), Some("ministry"));
+    store.offer(without);
+    assert_eq!(holder(&store, "k2"), None);
+    assert_eq!(holder(&store, "k1").as_deref(), Some("ministry"));
+}
+
+#[test]
+fn an_older_list_of_targets_does_not_replace_a_newer_one() {
+    let entry = |id: &str, leaving| TargetEntry {
+        id: id.to_owned(),
+        leaving,
+        ..TargetEntry::default()
+    };
+    let table = |entries: &[TargetEntry]| {
+        entries
+            .iter()
+            .map(|entry| (entry.id.clone(), entry.clone()))
+            .collect()
+    };
+    let mut store = TargetStore::default();
+    assert!(store.replace(Revision(7), table(&[entry("a", false)])));
+    assert!(store.apply(Revision(9), vec![TargetChange::Put(entry("a", true))]));
+    assert!(
+        !store.replace(Revision(8), table(&[entry("a", false)])),
+        "a peer was behind"
+    );
+    assert!(store.table["a"].leaving);
+    assert!(
+        !store.apply(Revision(10), vec![TargetChange::Put(entry("a", true))]),
+        "nothing new"
+    );
+    assert!(store.apply(Revision(11), vec![TargetChange::Gone("a".to_owned())]));
+    assert!(store.table.is_empty());
+}
+
+/// A node that watched on after its watch was cut, when history had been dropped, kept an old version for
+/// seconds: the new watch heard nothing of what the old one had missed.
+#[test]
+fn a_watch_that_broke_is_followed_by_a_whole_read() {
+    let mut cursor = FeedCursor::default();
+    assert_eq!(cursor.next_step(), FeedStep::Read);
+    cursor.answered(Revision(10));
+    assert_eq!(cursor.next_step(), FeedStep::Watch(Revision(10)));
+    cursor.answered(Revision(9));
+    assert_eq!(
+        cursor.next_step(),
+        FeedStep::Watch(Revision(10)),
+        "a revision never goes back"
+    );
+    let first = cursor.failed();
+    assert_eq!(cursor.next_step(), FeedStep::Read);
+    let second = cursor.failed();
+    assert!(second > first, "errors are followed by longer waits");
+    cursor.answered(Revision(12));
+    assert_eq!(cursor.failed(), first, "an answer ends the row of errors");
+    cursor.answered(Revision(13));
+    cursor.history_gone();
+    assert_eq!(cursor.next_step(), FeedStep::Read);
+}
--- /dev/null
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -0,0 +1,179 @@
+//! Which target answers a forwarded call.
+
+use barleyspool_core::{
+    Choose, Chosen, ForwardPlan, ForwardSettings, Forwarder, Need, SendEnd, TargetEntry, TargetTable, Time,
+};
+use std::sync::Arc;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn table(count: usize) -> TargetTable {
+    let entry = |place: usize| TargetEntry {
+        id: format!("i-{place}"),
+        service: "s".to_owned(),
+        address: format!("10.0.0.{place}:80"),
+        zone: ["a", "b"][place % 2].to_owned(),
+        slots: 6,
+        ..TargetEntry::default()
+    };
+    (0..count)
+        .map(|place| (format!("i-{place}"), entry(place)))
+        .collect()
+}
+
+fn plan(table: TargetTable) -> ForwardPlan {
+    ForwardPlan {
+        targets: Arc::new(table),
+        ..ForwardPlan::default()
+    }
+}
+
+fn forwarder(seed: u64, targets: usize) -> Forwarder {
+    let settings = ForwardSettings {
+        zone: "a".to_owned(),
+        seed,
+        ..ForwardSettings::default()
+    };
+    let mut forwarder = Forwarder::new(settings).expect("the chart is right");
+    forwarder.take_plan(&plan(table(targets)));
+    forwarder
+}
+
+fn need() -> Need {
+    Need {
+        service: "s".to_owned(),
+        ..Need::default()
+    }
+}
+
+fn engine_need(prefix: u64) -> Need {
+    Need {
+        engine_memory: Some(600_000),
+        prefix,
+        prefix_tokens: 13_000,
+        prompt_tokens: 17_000,
+        ..need()
+    }
+}
+
+fn choose(forwarder: &mut Forwarder, now: Time, need: &Need) -> Chosen {
+    match forwarder.choose(now, need) {
+        Choose::Send(chosen) => chosen,
+        Choose::Busy(_) => panic!("a target is free"),
+    }
+}
+
+#[test]
+fn nodes_that_know_the_same_targets_send_a_prefix_to_the_same_engine() {
+    let mut one = forwarder(1, 9);
+    let mut other = forwarder(2, 9);
+    let mut used = std::collections::BTreeSet::new();
+    for prefix in 1..200 {
+        let need = engine_need(prefix);
+        let home = choose(&mut one, at(0), &need).id;
+        assert_eq!(home, choose(&mut other, at(0), &need).id);
+        used.insert(home);
+    }
+    assert_eq!(used.len(), 9, "prefixes are spread over all engines");
+}
+
+#[test]
+fn a_prefix_goes_elsewhere_when_its_engine_is_busy_reading() {
+    let mut forwarder = forwarder(1, 6);
+    let need = engine_need(7);
+    let home = choose(&mut forwarder, at(0), &need);
+    let mut elsewhere = false;
+    for _ in 0..8 {
+        let chosen = choose(&mut forwarder, at(0), &need);
+        elsewhere |= chosen.id != home.id;
+        forwarder.begin(at(0), &need, chosen.target);
+    }
+    assert!(elsewhere, "eight long prompts at one engine");
+}
+
+#[test]
+fn a_target_that_failed_is_left_out_and_tried_again_later() {
+    let mut forwarder = forwarder(1, 4);
+    let bad = choose(&mut forwarder, at(0), &need());
+    let send = forwarder.begin(at(0), &need(), bad.target);
+    assert!(
+        forwarder.end(at(1), send, SendEnd::Unreachable),
+        "it goes into quarantine"
+    );
+    for ms in 1..100 {
+        assert_ne!(choose(&mut forwarder, at(ms), &need()).id, bad.id);
+    }
+    let again = (500..3000).any(|ms| choose(&mut forwarder, at(ms), &need()).id == bad.id);
+    assert!(again, "one call tries it");
+}
+
+#[test]
+fn when_most_targets_look_bad_the_view_is_suspect_and_they_stay() {
+    let mut forwarder = forwarder(1, 4);
+    for ms in 0..40 {
+        let chosen = choose(&mut forwarder, at(ms), &need());
+        let send = forwarder.begin(at(ms), &need(), chosen.target);
+        forwarder.end(at(ms), send, SendEnd::Unreachable);
+    }
+    assert!(matches!(forwarder.choose(at(41), &need()), Choose::Send(_)));
+}
+
+#[test]
+fn a_leaving_or_unlisted_target_gets_nothing() {
+    let mut forwarder = forwarder(1, 2);
+    let mut listed = table(2);
+    listed.remove("i-0");
+    if let Some(entry) = listed.get_mut("i-1") {
+        entry.leaving = true;
+    }
+    forwarder.take_plan(&plan(listed));
+    assert!(matches!(forwarder.choose(at(0), &need()), Choose::Busy(_)));
+}
+
+#[test]
+fn a_target_that_failed_this_call_is_not_chosen_for_it_again_while_there_are_others() {
+    let mut forwarder = forwarder(1, 3);
+    let first = choose(&mut forwarder, at(0), &need());
+    let avoiding = Need {
+        avoid: vec![first.target],
+        ..need()
+    };
+    for _ in 0..50 {
+        assert_ne!(choose(&mut forwarder, at(0), &avoiding).id, first.id);
+    }
+}
+
+#[test]
+fn calls_stay_in_their_zone_until_its_targets_are_loaded() {
+    let mut forwarder = forwarder(1, 4);
+    let first = choose(&mut forwarder, at(0), &need());
+    assert!(
+        ["i-0", "i-2"].contains(&first.id.as_str()),
+        "zone a: {}",
+        first.id
+    );
+    let mut left = false;
+    for _ in 0..40 {
+        let chosen = choose(&mut forwarder, at(0), &need());
+        left |= !["i-0", "i-2"].contains(&chosen.id.as_str());
+        forwarder.begin(at(0), &need(), chosen.target);
+    }
+    assert!(left, "forty calls at two targets");
+}
+
+#[test]
+fn a_slow_target_gets_less() {
+    let mut forwarder = forwarder(1, 4);
+    let mut counts = std::collections::BTreeMap::new();
+    for ms in (0..20_000).step_by(20) {
+        let chosen = choose(&mut forwarder, at(ms), &need());
+        let took = if chosen.id == "i-0" { 600 } else { 60 };
+        let send = forwarder.begin(at(ms), &need(), chosen.target);
+        forwarder.end(at(ms + took), send, SendEnd::Answered { success: true });
+        *counts.entry(chosen.id).or_insert(0) += 1;
+    }
+    let slow = counts.get("i-0").copied().unwrap_or(0);
+    assert!(slow * 4 < counts["i-2"], "{counts:?}");
+}
--- /dev/null
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -0,0 +1,292 @@
+//! Pieces of many requests in shared calls.
+
+use barleyspool_core::{
+    CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Span,
+    TargetEntry, TargetTable, Time,
+};
+
+const BATCH: u32 = 8;
+
+fn spec() -> PoolSpec {
+    PoolSpec {
+        slots: 1,
+        queue: 2,
+        batch: BATCH,
+        call: Span::from_millis(150),
+        item: Span::from_millis(10),
+        room: 1000,
+        hold: Span::from_secs(4),
+    }
+}
+
+fn table(count: usize) -> TargetTable {
+    let entry = |place: usize| TargetEntry {
+        id: format!("i-{place}"),
+        service: "pool".to_owned(),
+        address: format!("10.0.0.{place}:80"),
+        zone: "z".to_owned(),
+        ..TargetEntry::default()
+    };
+    (0..count)
+        .map(|place| (format!("i-{place}"), entry(place)))
+        .collect()
+}
+
+fn queue(targets: usize) -> PieceQueue {
+    let mut queue = PieceQueue::new(spec());
+    queue.take_plan(&spec(), &table(targets), |_| true);
+    queue
+}
+
+fn order(request: &str, pieces: u32) -> PieceOrder {
+    PieceOrder {
+        request: request.to_owned(),
+        pieces,
+        deadline: at(10_000),
+        due: at(1_000),
+        bytes: 10,
+        ..PieceOrder::default()
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn submit(queue: &mut PieceQueue, now: Time, order: PieceOrder) -> OrderKey {
+    queue.submit(now, order).expect("there is room")
+}
+
+fn made(call: &PieceCall) -> CallOutcome {
+    let handle =
+        |item: &barleyspool_core::PieceItem| PieceOutcome::Made(format!("{}/{}", call.address, item.piece));
+    CallOutcome::Done(call.items.iter().map(handle).collect())
+}
+
+#[test]
+fn pieces_of_several_requests_share_a_call() {
+    let mut queue = queue(1);
+    let first = submit(&mut queue, at(0), order("a", 3));
+    let second = submit(&mut queue, at(0), order("b", 3));
+    let calls = queue.next_calls(at(0));
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].items.len(), 6);
+    assert!(
+        queue.next_calls(at(1)).is_empty(),
+        "the target works on one call at a time"
+    );
+    queue.call_ended(at(200), calls[0].call, made(&calls[0]));
+    let ended = queue.take_ended();
+    assert_eq!(ended.len(), 2);
+    for (key, end) in ended {
+        assert!(key == first || key == second);
+        assert!(matches!(end, OrderEnd::Made(handles) if handles.len() == 3));
+    }
+}
+
+#[test]
+fn a_call_is_never_larger_than_a_batch_and_the_more_urgent_goes_first() {
+    let mut queue = queue(1);
+    let low = PieceOrder {
+        rank: 2,
+        ..order("low", 6)
+    };
+    let high = PieceOrder {
+        rank: 0,
+        ..order("high", 6)
+    };
+    submit(&mut queue, at(0), low);
+    let high = submit(&mut queue, at(0), high);
+    let calls = queue.next_calls(at(0));
+    assert_eq!(calls[0].items.len(), BATCH as usize);
+    let of_high = calls[0].items.iter().filter(|item| item.order == high).count();
+    assert_eq!(of_high, 6);
+}
+
+#[test]
+fn the_pieces_of_an_overdue_call_go_elsewhere_and_the_first_result_counts() {
+    let mut queue = queue(2);
+    let key = submit(&mut queue, at(0), order("a", 1));
+    let first = queue.next_calls(at(0)).remove(0);
+    queue.tick(at(300));
+    assert!(queue.next_calls(at(300)).is_empty(), "not overdue yet");
+    queue.tick(at(400));
+    let second = queue.next_calls(at(400)).remove(0);
+    assert_ne!(first.id, second.id);
+    queue.call_ended(at(450), first.call, made(&first));
+    assert_eq!(queue.take_ended().len(), 1, "the late result is as good as any");
+    queue.call_ended(at(600), second.call, made(&second));
+    assert!(queue.take_ended().is_empty());
+    let freed = queue.take_unneeded();
+    assert_eq!(freed.len(), 1, "the second result is given up");
+    assert_eq!(freed[0].1, second.id);
+    assert!(queue.order(key).is_none());
+}
+
+#[test]
+fn a_call_that_did_not_run_or_broke_off_is_made_again_but_not_without_end() {
+    for (outcome, ends) in [
+        (CallOutcome::Refused { misdirected: false }, false),
+        (CallOutcome::Unreachable, false),
+        (CallOutcome::BrokenOff, true),
+    ] {
+        let mut queue = queue(1);
+        submit(
+            &mut queue,
+            at(0),
+            PieceOrder {
+                deadline: at(1_000_000),
+                due: at(900_000),
+                ..order("a", 1)
+            },
+        );
+        let mut now = at(0);
+        let mut calls = 0;
+        for _ in 0..2000 {
+            for call in queue.next_calls(now) {
+                calls += 1;
+                queue.call_ended(now, call.call, outcome.clone());
+            }
+            now = now + Span::from_millis(10);
+        }
+        let failed = matches!(queue.take_ended().as_slice(), [(_, OrderEnd::Failed)]);
+        assert_eq!(failed, ends, "{outcome:?}");
+        assert!(
+            calls <= 200,
+            "{calls} calls in 20 s: {outcome:?} is followed by a wait"
+        );
+        assert!(calls >= 4, "{calls} calls: {outcome:?} is tried again");
+    }
+}
+
+#[test]
+fn a_target_gets_no_more_results_than_it_has_room_for() {
+    let mut queue = queue(1);
+    submit(
+        &mut queue,
+        at(0),
+        PieceOrder {
+            bytes: 400,
+            ..order("a", 8)
+        },
+    );
+    let call = queue.next_calls(at(0)).remove(0);
+    assert_eq!(call.items.len(), 2, "two of 400 bytes fit into 1000");
+    queue.call_ended(at(200), call.call, made(&call));
+    assert!(queue.next_calls(at(201)).is_empty(), "its room is taken");
+    queue.give_up(vec![format!("{}/0", call.address)]);
+    queue.take_unneeded();
+    assert_eq!(queue.next_calls(at(202)).remove(0).items.len(), 1);
+}
+
+#[test]
+fn a_piece_without_room_waits_and_does_not_use_up_its_tries() {
+    let mut queue = queue(1);
+    submit(
+        &mut queue,
+        at(0),
+        PieceOrder {
+            bytes: 400,
+            deadline: at(60_000),
+            ..order("a", 1)
+        },
+    );
+    let mut now = at(0);
+    for _ in 0..10 {
+        now = now + Span::from_millis(300);
+        let call = queue.next_calls(now).remove(0);
+        queue.call_ended(now, call.call, CallOutcome::Done(vec![PieceOutcome::NoRoom]));
+        assert!(queue.next_calls(now).is_empty(), "not at once again");
+    }
+    assert!(queue.take_ended().is_empty());
+}
+
+/// After a pool changed its owner, results that had been made for the old one were never freed and filled the
+/// targets until they expired.
+#[test]
+fn results_made_for_another_owner_are_freed_at_their_maker() {
+    let mut queue = queue(2);
+    queue.give_up(vec!["10.0.0.1:80/ff".to_owned(), "10.9.9.9:80/ff".to_owned()]);
+    let freed = queue.take_unneeded();
+    assert_eq!(
+        freed,
+        [(
+            "10.0.0.1:80".to_owned(),
+            "i-1".to_owned(),
+            vec!["10.0.0.1:80/ff".to_owned()]
+        )]
+    );
+}
+
+#[test]
+fn a_withdrawn_order_is_not_made_and_what_was_made_of_it_is_given_up() {
+    let mut queue = queue(1);
+    let key = submit(&mut queue, at(0), order("a", 12));
+    let call = queue.next_calls(at(0)).remove(0);
+    queue.call_ended(at(200), call.call, made(&call));
+    queue.withdraw(key);
+    assert!(queue.next_calls(at(201)).is_empty());
+    assert_eq!(queue.take_unneeded()[0].2.len(), call.items.len());
+}
+
+#[test]
+fn an_order_that_cannot_be_made_in_time_is_refused_at_once_with_when_to_come_back() {
+    let mut queue = queue(1);
+    for request in 0..40 {
+        let _ = queue.submit(at(0), order(&request.to_string(), BATCH));
+    }
+    let come_back = queue.submit(
+        at(0),
+        PieceOrder {
+            deadline: at(800),
+            ..order("late", 1)
+        },
+    );
+    assert!(come_back.expect_err("much waits") > Span::ZERO);
+}
+
+#[test]
+fn what_waits_past_its_time_ends_and_inputs_that_are_gone_end_their_order() {
+    let mut queue = queue(1);
+    let late = submit(
+        &mut queue,
+        at(0),
+        PieceOrder {
+            deadline: at(500),
+            ..order("late", 1)
+        },
+    );
+    queue.next_calls(at(0));
+    let waits = submit(
+        &mut queue,
+        at(0),
+        PieceOrder {
+            deadline: at(400),
+            ..order("waits", 1)
+        },
+    );
+    queue.next_calls(at(300));
+    assert!(matches!(queue.take_ended().as_slice(), [(key, OrderEnd::TooLate(_))] if *key == waits));
+    let gone = queue.order(late).is_some();
+    assert!(gone, "what is at a target stays");
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    let mut queue = queue(1);
+    let mut leaving = table(1);
+    for entry in leaving.values_mut() {
+        entry.leaving = true;
+    }
+    queue.take_plan(&spec(), &leaving, |_| true);
+    submit(&mut queue, at(0), order("a", 1));
+    assert!(queue.next_calls(at(0)).is_empty());
+    queue.take_plan(&spec(), &table(2), |_| true);
+    assert_eq!(queue.next_calls(at(1)).len(), 1);
+    queue.take_plan(&spec(), &TargetTable::new(), |_| true);
+    submit(&mut queue, at(2), order("b", 1));
+    assert!(
+        queue.next_calls(at(2)).is_empty(),
+        "targets that are gone get nothing"
+    );
+}
--- /dev/null
+++ b/crates/barleyspool_core/tests/membership.rs
@@ -0,0 +1,280 @@
+//! Nodes that find each other from a few seeds, over a network that loses, cuts and delays.
+
+use barleyspool_core::{
+    Incarnation, MemberAction, MemberEvent, MemberFacts, MemberHealth, MemberMessage, Membership,
+    MembershipSettings, Revision, Span, Time,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const STEP: Span = Span::from_millis(5);
+
+struct Net {
+    now: Time,
+    nodes: BTreeMap<String, Membership>,
+    asleep: BTreeSet<String>,
+    cut: BTreeSet<(String, String)>,
+    loss: f64,
+    flying: VecDeque<(Time, String, String, MemberMessage)>,
+    random: SmallRng,
+    bytes: u64,
+}
+
+impl Net {
+    fn new(loss: f64, seed: u64) -> Self {
+        Self {
+            now: Time::from_millis(1_000),
+            nodes: BTreeMap::new(),
+            asleep: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss,
+            flying: VecDeque::new(),
+            random: SmallRng::seed_from_u64(seed),
+            bytes: 0,
+        }
+    }
+
+    fn start(&mut self, name: &str, incarnation: u64, seeds: &[&str]) {
+        let facts = MemberFacts {
+            address: name.to_owned(),
+            callers: format!("{name}-callers"),
+            zone: "z".to_owned(),
+            ..MemberFacts::default()
+        };
+        let mut node = Membership::new(MembershipSettings {
+            facts,
+            incarnation: Incarnation(incarnation),
+            seeds: seeds.iter().map(|seed| (*seed).to_owned()).collect(),
+            seed: self.random.random(),
+            ..MembershipSettings::default()
+        });
+        let serving = MemberEvent::Facts {
+            serving: true,
+            version: Revision(1),
+        };
+        let actions = node.step(self.now, serving);
+        self.nodes.insert(name.to_owned(), node);
+        self.send(name, actions);
+    }
+
+    fn send(&mut self, from: &str, actions: Vec<MemberAction>) {
+        for action in actions {
+            let MemberAction::Send { to, message } = action else {
+                continue;
+            };
+            self.bytes += rmp_size(&message);
+            let cut = self.cut.contains(&(from.to_owned(), to.clone()));
+            if !cut && !self.random.random_bool(self.loss) {
+                let at = self.now + Span::from_millis(self.random.random_range(1..4));
+                self.flying.push_back((at, from.to_owned(), to, message));
+            }
+        }
+    }
+
+    fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let arrived: Vec<_> = self
+                .flying
+                .iter()
+                .filter(|(at, ..)| *at <= self.now)
+                .cloned()
+                .collect();
+            self.flying.retain(|(at, ..)| *at > self.now);
+            for (_, from, to, message) in arrived {
+                self.step(&to, MemberEvent::Message { from, message });
+            }
+            let names: Vec<String> = self.nodes.keys().cloned().collect();
+            for name in names {
+                self.step(&name, MemberEvent::Tick);
+            }
+        }
+    }
+
+    fn step(&mut self, name: &str, event: MemberEvent) {
+        if self.asleep.contains(name) {
+            return;
+        }
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let actions = node.step(self.now, event);
+        self.send(name, actions);
+    }
+
+    fn seen(&self, by: &str) -> BTreeSet<String> {
+        self.nodes[by]
+            .serving()
+            .into_iter()
+            .map(|facts| facts.address)
+            .collect()
+    }
+
+    fn health(&self, by: &str, of: &str) -> Option<MemberHealth> {
+        let mut members = self.nodes[by].members();
+        members
+            .find(|member| member.facts.address == of)
+            .map(|member| member.health)
+    }
+
+    fn cut_between(&mut self, one: &[&str], other: &[&str]) {
+        for a in one {
+            for b in other {
+                self.cut.insert(((*a).to_owned(), (*b).to_owned()));
+                self.cut.insert(((*b).to_owned(), (*a).to_owned()));
+            }
+        }
+    }
+}
+
+fn rmp_size(message: &MemberMessage) -> u64 {
+    serde_json::to_vec(message).map_or(0, |bytes| bytes.len() as u64 / 2)
+}
+
+const NAMES: [&str; 9] = ["n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"];
+
+fn nine(loss: f64, seed: u64) -> Net {
+    let mut net = Net::new(loss, seed);
+    for name in NAMES {
+        net.start(name, 100, &["n0", "stale", "n4"]);
+    }
+    net.run(Span::from_secs(3));
+    net
+}
+
+#[test]
+fn all_find_each_other_from_seeds_of_which_one_is_stale() {
+    for seed in 0..10 {
+        let net = nine(0.03, seed);
+        for name in NAMES {
+            assert_eq!(
+                net.seen(name).len(),
+                9,
+                "seed {seed}: {name} sees {:?}",
+                net.seen(name)
+            );
+        }
+    }
+}
+
+#[test]
+fn a_dead_node_is_left_out_within_seconds_and_lost_datagrams_kill_nobody() {
+    for seed in 0..10 {
+        let mut net = nine(0.03, seed);
+        net.run(Span::from_secs(20));
+        for name in NAMES {
+            assert_eq!(net.seen(name).len(), 9, "seed {seed}: {name}");
+        }
+        net.nodes.remove("n5");
+        net.run(Span::from_secs(6));
+        for name in NAMES.iter().filter(|name| **name != "n5") {
+            assert!(
+                !net.seen(name).contains("n5"),
+                "seed {seed}: {name} still names n5"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_node_that_slept_refutes_and_blames_nobody() {
+    for seed in 0..10 {
+        let mut net = nine(0.0, seed);
+        net.asleep.insert("n3".to_owned());
+        net.run(Span::from_secs(4));
+        net.asleep.remove("n3");
+        net.run(Span::from_millis(50));
+        let others = NAMES.iter().filter(|name| **name != "n3");
+        for other in others {
+            let health = net.health("n3", other);
+            assert_eq!(
+                health,
+                Some(MemberHealth::Alive),
+                "seed {seed}: {other} did nothing wrong"
+            );
+        }
+        net.run(Span::from_secs(6));
+        for name in NAMES {
+            assert_eq!(net.seen(name).len(), 9, "seed {seed}: {name}");
+        }
+    }
+}
+
+#[test]
+fn two_sides_of_a_cut_find_each_other_again() {
+    for seed in 0..5 {
+        let mut net = nine(0.0, seed);
+        let (one, other) = NAMES.split_at(4);
+        net.cut_between(one, other);
+        net.run(Span::from_secs(15));
+        assert_eq!(net.seen("n0").len(), 4, "seed {seed}");
+        assert_eq!(net.seen("n8").len(), 5, "seed {seed}");
+        net.cut.clear();
+        net.run(Span::from_secs(10));
+        for name in NAMES {
+            assert_eq!(net.seen(name).len(), 9, "seed {seed}: {name}");
+        }
+    }
+}
+
+#[test]
+fn a_restarted_node_is_known_again_also_when_its_clock_went_back() {
+    for seed in 0..5 {
+        let mut net = nine(0.0, seed);
+        net.nodes.remove("n2");
+        net.run(Span::from_millis(500));
+        net.start("n2", 50, &["n0", "stale", "n4"]);
+        net.run(Span::from_secs(8));
+        for name in NAMES {
+            assert_eq!(net.seen(name).len(), 9, "seed {seed}: {name}");
+        }
+    }
+}
+
+#[test]
+fn a_leaving_node_is_out_of_all_answers_at_once() {
+    let mut net = nine(0.0, 1);
+    net.step("n6", MemberEvent::Leave);
+    net.run(Span::from_millis(700));
+    for name in NAMES {
+        assert!(!net.seen(name).contains("n6"), "{name}");
+    }
+}
+
+#[test]
+fn everybody_restarting_within_moments_comes_together_again() {
+    let mut net = nine(0.0, 3);
+    net.nodes.clear();
+    net.flying.clear();
+    for name in NAMES {
+        net.start(name, 200, &["n0", "stale", "n4"]);
+        net.run(Span::from_millis(30));
+    }
+    net.run(Span::from_secs(2));
+    for name in NAMES {
+        assert_eq!(net.seen(name).len(), 9, "{name}");
+    }
+}
+
+#[test]
+fn the_bytes_a_node_sends_do_not_grow_with_the_fleet() {
+    let rate = |count: usize| {
+        let names: Vec<String> = (0..count).map(|place| format!("m{place}")).collect();
+        let mut net = Net::new(0.0, 5);
+        for name in &names {
+            net.start(name, 1, &["m0", "m1", "m2"]);
+        }
+        net.run(Span::from_secs(20));
+        net.bytes = 0;
+        net.run(Span::from_secs(10));
+        net.bytes as f64 / 10.0 / count as f64
+    };
+    let (small, large) = (rate(9), rate(60));
+    assert!(
+        large < small * 2.0 + 500.0,
+        "{small} bytes a second at 9 nodes, {large} at 60"
+    );
+    assert!(large < 13_000.0, "{large} bytes a second");
+}
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -2,7 +2,7 @@
 
 use super::state::ControlState;
 use crate::edges::{Feed, Source, SourceChange, SourceError};
-use barleyspool_core::{Revision, Span, TargetTable};
+use barleyspool_core::{FeedCursor, FeedStep, Revision, Span, TargetTable};
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,43 +13,32 @@
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 /// How long a read may take.
 const READ: Duration = Duration::from_millis(1500);
-/// The first wait after an error, in milliseconds.
-const RETRY_FIRST_MS: u64 = 60;
-/// The longest.
-const RETRY_LONGEST_MS: u64 = 600;
-
 /// Follows a feed until the process ends.
 pub async fn run(state: Rc<ControlState>, source: Rc<dyn Source>, feed: Feed) {
-    let mut failures = 0;
-    let mut since: Option<Revision> = None;
+    let mut cursor = FeedCursor::default();
     loop {
-        let result = match since {
-            None => read_whole(&state, &source, feed).await,
-            Some(at) => watch(&state, &source, feed, at).await,
+        let result = match cursor.next_step() {
+            FeedStep::Read => read_whole(&state, &source, feed).await,
+            FeedStep::Watch(since) => watch(&state, &source, feed, since).await,
         };
         match result {
             Ok(at) => {
-                failures = 0;
-                since = Some(at);
+                cursor.answered(at);
                 state.feed_result(feed, None);
             }
-            Err(SourceError::HistoryGone) => since = None,
+            Err(SourceError::HistoryGone) => cursor.history_gone(),
             Err(error) => {
                 state.feed_result(feed, Some(&error.to_string()));
-                // A watch that broke may have missed changes that a new one does not tell: read whole again.
-                since = None;
-                wait_after(failures).await;
-                failures += 1;
+                wait_up_to(cursor.failed()).await;
             }
         }
     }
 }
 
-/// Waits after an error, longer each time, at random so that nodes do not come back together.
-async fn wait_after(failures: u32) {
-    let longest = RETRY_LONGEST_MS.min(RETRY_FIRST_MS << failures.min(6));
-    let wait = rand::rng().random_range(longest / 2..=longest);
-    tokio::time::sleep(Duration::from_millis(wait)).await;
+/// Waits at random, so that nodes do not come back together.
+async fn wait_up_to(longest: Span) {
+    let wait = rand::rng().random_range(longest.0 / 2..=longest.0);
+    tokio::time::sleep(Duration::from_micros(wait)).await;
 }
 
 async fn read_whole(
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -10,7 +10,8 @@
 use crate::event_log::Line;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, Verdict, handle_address,
+    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, Verdict,
+    handle_address,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
