--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -39,6 +39,12 @@
 /// How long a runner without room is reckoned to have none: results of which this node does not know, since
 /// another node owned the pool before, are freed or expire meanwhile.
 const NO_ROOM: Span = Span::from_millis(250);
+/// What a runner's room is multiplied with when it had none: sizes of results are approximate.
+const ROOM_SHRINK: f64 = 0.9;
+/// What it is multiplied with after a call.
+const ROOM_GROW: f64 = 1.01;
+/// The least part of its room that is reckoned with.
+const LEAST_ROOM: f64 = 0.5;
 /// The part of a runner's room that is still tried after it said that it has none.
 const NO_ROOM_SHARE: u64 = 16;
 /// The span over which the rate of made pieces is measured.
@@ -157,6 +163,8 @@
     out_until: Time,
     out_for: Span,
     full_for: Span,
+    /// The part of its room that it is reckoned to have; it shrinks when it had none, and recovers.
+    room_share: f64,
     no_room_until: Time,
     measured: Time,
 }
@@ -231,6 +239,7 @@
                 slowness: 1.0,
                 out_for: OUT_FIRST,
                 full_for: FULL_FIRST,
+                room_share: 1.0,
                 ..PieceRunner::default()
             });
             runner.entry = entry.clone();
@@ -463,7 +472,8 @@
         let Some(runner) = self.runners.get(id) else {
             return 0;
         };
-        let free = self.spec.room.saturating_sub(runner.kept);
+        let room = (self.spec.room as f64 * runner.room_share) as u64;
+        let free = room.saturating_sub(runner.kept);
         if now < runner.no_room_until {
             free.min(self.spec.room / NO_ROOM_SHARE)
         } else {
@@ -534,6 +544,7 @@
             runner.measured = now;
             runner.out_for = OUT_FIRST;
             runner.full_for = FULL_FIRST;
+            runner.room_share = (runner.room_share * ROOM_GROW).min(1.0);
         }
         // The whole pool's pace moves slowly and little: one slow runner must not look normal.
         self.pace = (self.pace * (1.0 + 0.02 * (relative.min(1.5) - 1.0))).clamp(0.3, 3.0);
@@ -562,6 +573,9 @@
             PieceOutcome::NoRoom => {
                 // That is no fault of the piece: it waits for room elsewhere.
                 if let Some(runner) = self.runners.get_mut(&call.runner) {
+                    if now >= runner.no_room_until {
+                        runner.room_share = (runner.room_share * ROOM_SHRINK).max(LEAST_ROOM);
+                    }
                     runner.no_room_until = now + NO_ROOM;
                 }
                 self.requeue_item(item, false);
@@ -737,19 +751,15 @@
     pub fn take_unneeded(&mut self) -> Vec<(String, String, Vec<String>)> {
         let mut by_maker: BTreeMap<String, (String, Vec<String>)> = BTreeMap::new();
         for handle in std::mem::take(&mut self.unneeded) {
-            let kept = self.kept.remove(&handle);
-            let maker = match &kept {
+            let maker = match self.kept.get(&handle) {
                 Some(kept) => Some(kept.runner.clone()),
                 // Made for another owner of the pool; the handle tells by whom.
                 None => self.maker_of(&handle),
             };
             let Some(id) = maker else { continue };
-            let Some(runner) = self.runners.get_mut(&id) else {
+            let Some(runner) = self.runners.get(&id) else {
                 continue;
             };
-            if let Some(kept) = kept {
-                runner.kept = runner.kept.saturating_sub(kept.bytes);
-            }
             let address = runner.entry.address.clone();
             let maker = by_maker.entry(id).or_insert((address, Vec::new()));
             maker.1.push(handle);
@@ -760,6 +770,18 @@
             .collect()
     }
 
+    /// Their maker has freed them: only now is there room.
+    pub fn freed(&mut self, handles: &[String]) {
+        for handle in handles {
+            let Some(kept) = self.kept.remove(handle) else {
+                continue;
+            };
+            if let Some(runner) = self.runners.get_mut(&kept.runner) {
+                runner.kept = runner.kept.saturating_sub(kept.bytes);
+            }
+        }
+    }
+
     fn maker_of(&self, handle: &str) -> Option<String> {
         let address = handle_address(handle);
         let maker = self
--- a/crates/barleyspool_core/tests/forward_catalog.rs
+++ b/crates/barleyspool_core/tests/forward_catalog.rs
@@ -1,5 +1,7 @@
 //! Routes, services, keys and versions of forwarded calls.
 
+#![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
+
 use barleyspool_core::{
     Catalog, CatalogDocument, CatalogFault, CatalogStore, FeedCursor, FeedStep, ForwardService, KeyHolder,
     Offered, PoolSpec, Revision, Route, Share, StageSpec, TargetChange, TargetEntry, TargetStore,
--- a/crates/barleyspool_core/tests/forward_choice.rs
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -1,5 +1,7 @@
 //! Which target answers a forwarded call.
 
+#![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
+
 use barleyspool_core::{
     Choose, Chosen, ForwardPlan, ForwardSettings, Forwarder, Need, SendEnd, TargetEntry, TargetTable, Time,
 };
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -1,5 +1,7 @@
 //! Pieces of many requests in shared calls.
 
+#![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
+
 use barleyspool_core::{
     CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Span,
     TargetEntry, TargetTable, Time,
@@ -175,8 +177,10 @@
     queue.call_ended(at(200), call.call, made(&call));
     assert!(queue.next_calls(at(201)).is_empty(), "its room is taken");
     queue.give_up(vec![format!("{}/0", call.address)]);
-    queue.take_unneeded();
-    assert_eq!(queue.next_calls(at(202)).remove(0).items.len(), 1);
+    let unneeded = queue.take_unneeded();
+    assert!(queue.next_calls(at(202)).is_empty(), "its maker has not freed it yet");
+    queue.freed(&unneeded[0].2);
+    assert_eq!(queue.next_calls(at(203)).remove(0).items.len(), 1);
 }
 
 #[test]
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -264,23 +264,33 @@
         for (address, target, handles) in unneeded {
             let (path, body) = (traffic.edges.pool.free)(&handles);
             if let Some(request) = request(&traffic, path, &address, &target, body) {
-                spawn_local(send_free(Rc::clone(&traffic), address, target, request));
+                let to = (address, target);
+                spawn_local(send_free(Rc::clone(&traffic), Rc::clone(&pool), to, handles, request));
             }
         }
-        // Room may have come free.
-        pool.wake();
     }
 }
 
 /// Results that cannot be freed go by themselves after their time.
-async fn send_free(traffic: Rc<Traffic>, address: String, target: String, request: Request<Full<Bytes>>) {
+async fn send_free(
+    traffic: Rc<Traffic>,
+    pool: Rc<Pool>,
+    (address, target): (String, String),
+    handles: Vec<String>,
+    request: Request<Full<Bytes>>,
+) {
     let work = async {
         let sent = traffic.connections.send(&address, &target, request, || {}).await;
-        if let Ok((connection, response)) = sent {
-            let whole = Limited::new(response.into_body(), MOST_ANSWER).collect().await;
-            if whole.is_ok() {
-                traffic.connections.put_back(connection, None);
-            }
+        let Ok((connection, response)) = sent else { return };
+        let freed = response.status().is_success();
+        let whole = Limited::new(response.into_body(), MOST_ANSWER).collect().await;
+        if whole.is_ok() {
+            traffic.connections.put_back(connection, None);
+        }
+        if freed {
+            pool.queue.borrow_mut().freed(&handles);
+            // Room has come free.
+            pool.wake();
         }
     };
     let _ = tokio::time::timeout(CALL_TIMEOUT, work).await;
