An engine's inputs are freed once it had time to fetch them, not at its first output

Cause: results of the last stage filled their makers (0.5 MB each) until the engine's first output, 160 to 700 ms later: calls of 3 to 12 pieces with 100 waiting. A resumed stream makes them anew. Ruled out: larger batches (the room, not the batch, was the limit).

--- a/crates/barleyspool_core/src/forward/catalog.rs
+++ b/crates/barleyspool_core/src/forward/catalog.rs
@@ -100,6 +100,22 @@
     pub room: u64,
     /// How long a result is kept after its call.
     pub hold: Span,
+    /// What its link carries, in megabits a second; 0 when not known.
+    pub link_mbps: u64,
+}
+
+/// How long a target that was sent a call is given to fetch inputs, besides the time on the link.
+const FETCH_LEAST: Span = Span::from_millis(120);
+/// The time on the link is reckoned this many times, since others use it too.
+const FETCH_SHARE: u64 = 4;
+
+impl PoolSpec {
+    /// How long results of `bytes` are kept for a target that was sent a call which needs them. `None` when the
+    /// link is not known: then its first output shows that it has them.
+    pub fn fetch_time(&self, bytes: u64) -> Option<Span> {
+        let on_link = (bytes * 8).checked_div(self.link_mbps)?;
+        Some(FETCH_LEAST + Span(on_link * FETCH_SHARE))
+    }
 }
 
 /// A service as forwarded calls need it.
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -18,6 +18,7 @@
         item: Span::from_millis(10),
         room: 1000,
         hold: Span::from_secs(4),
+        link_mbps: 1000,
     }
 }
 
@@ -294,3 +295,13 @@
         "targets that are gone get nothing"
     );
 }
+
+#[test]
+fn inputs_are_kept_for_as_long_as_their_reader_needs_to_fetch_them() {
+    let short = spec().fetch_time(1_000);
+    let long = spec().fetch_time(100_000_000);
+    assert!(short < long, "{short:?} {long:?}");
+    assert!(long >= Some(Span::from_millis(800)), "800 Mbit on a link of 1000 Mbit/s: {long:?}");
+    let unknown = PoolSpec { link_mbps: 0, ..spec() };
+    assert_eq!(unknown.fetch_time(1_000), None);
+}
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -417,6 +417,17 @@
         .sum()
     }
 
+    /// How long its inputs are kept once it has been sent; `None` when only its first output shows that they
+    /// have been fetched.
+    pub fn fetch_time(&self) -> Option<Span> {
+        let bytes = self.input_bytes();
+        let pools = self.route.stages.iter().map(|spec| {
+            let service = self.catalog.service(&spec.service)?;
+            service.pool.as_ref()?.fetch_time(bytes)
+        });
+        pools.collect::<Option<Vec<Span>>>()?.into_iter().max()
+    }
+
     /// Notes where its inputs lie: in the zone of most of their makers.
     pub fn note_inputs(&self, handles: &[String]) {
         let plan = self.traffic.plan();
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -108,7 +108,7 @@
     call: &Rc<Call>,
     guard: &Rc<CallGuard>,
     stages: &StageRun,
-    results: Results,
+    mut results: Results,
 ) -> Result<Outcome, CallFailure> {
     let inputs = stages.outputs();
     call.note_inputs(&inputs);
@@ -117,7 +117,11 @@
         let chosen = choose(call).await?;
         let mut send = SendGuard::begin(call, chosen);
         tell_sent(call, &send.chosen, retry);
-        let sent = send_once(call, &send.chosen, &inputs, call.head.resume_after).await;
+        let sent = {
+            let sent = send_once(call, &send.chosen, &inputs, call.head.resume_after);
+            let wait = call.fetch_time().filter(|_| !inputs.is_empty());
+            release_while(sent, &mut results, wait).await
+        };
         call.sending.set(false);
         let end = match sent {
             Ok(Sent::Stream(parts, body, connection, head)) => {
@@ -173,6 +177,18 @@
     }
 }
 
+/// Waits for an answer; meanwhile frees the call's inputs once its target has had time to fetch them.
+async fn release_while<T>(sent: impl Future<Output = T>, results: &mut Results, wait: Option<Span>) -> T {
+    let mut sent = std::pin::pin!(sent);
+    if let Some(wait) = wait {
+        match tokio::time::timeout(duration(wait), sent.as_mut()).await {
+            Ok(sent) => return sent,
+            Err(_) => results.release_all(),
+        }
+    }
+    sent.await
+}
+
 /// When to come back after targets refused.
 const COME_BACK: Span = Span::from_millis(200);
 
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -6,8 +6,9 @@
 use super::connections::Connection;
 use super::final_send::{self, SendGuard, Sent};
 use super::results::Results;
+use super::stages;
 use crate::failure::CallFailure;
-use barleyspool_core::{NextStep, Reason, SendEnd, Span, next_step};
+use barleyspool_core::{NextStep, Reason, SendEnd, Span, StageRun, next_step};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -135,9 +136,7 @@
         };
         relay.send.first_output();
         relay.guard.first_output();
-        if !resumable {
-            relay.results.release_all();
-        }
+        relay.results.release_all();
         let Some(data) = passed.take(data, resumable) else {
             continue;
         };
@@ -179,6 +178,9 @@
             return false;
         }
         call.avoid.borrow_mut().push(relay.send.chosen.target);
+        if !make_inputs(relay).await {
+            return false;
+        }
         let Ok(chosen) = final_send::choose(&call).await else {
             return false;
         };
@@ -208,6 +210,17 @@
     }
 }
 
+/// Makes the stage results anew that the first target has fetched and that were freed then.
+async fn make_inputs(relay: &mut Relay) -> bool {
+    if relay.inputs.is_empty() {
+        return true;
+    }
+    let mut run = StageRun::new(&relay.call.route.stages, &relay.call.head.pieces);
+    let made = stages::run(&relay.call, &mut run, &mut relay.results).await;
+    relay.inputs = run.outputs();
+    made.is_ok()
+}
+
 impl Passed {
     /// What of `data` goes to the caller now: all of it, or whole new events only.
     fn take(&mut self, data: Bytes, whole_events: bool) -> Option<Bytes> {
