The expected time to an engine's first output is measured by route

Cause: admission reckoned with a cached prefix (60 ms) where engines took 550 ms to their first output, so calls were admitted that came late, and stages were due too late.

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -33,6 +33,8 @@
 const FIRST_TIME: Span = Span::from_millis(60);
 /// How much a new measurement moves an average.
 const GAIN: f64 = 0.05;
+/// How much a new time to the first output moves its average: loads change within seconds.
+const FIRST_GAIN: f64 = 0.15;
 /// Prompts shorter than this say little of the reading rate.
 const LEAST_TOKENS: f64 = 500.0;
 /// How long a target that said it is full gets nothing.
@@ -74,6 +76,8 @@
 pub struct Need {
     /// The service.
     pub service: String,
+    /// The route, whose calls resemble each other.
+    pub route: String,
     /// Whether model engines serve it, and how many tokens one of them holds.
     pub engine_memory: Option<u64>,
     /// The shared beginning of its prompt; zero for none.
@@ -113,6 +117,7 @@
 #[derive(Clone, Debug)]
 struct Send {
     target: TargetKey,
+    route: String,
     started: Time,
     /// The time to the first output that was expected, in microseconds.
     expected: f64,
@@ -133,6 +138,8 @@
     sends: SlotMap<SendKey, Send>,
     retries: HashMap<String, RetryWindow>,
     answer_time: HashMap<String, f64>,
+    /// Time to the first output of an engine, by route.
+    first_time: HashMap<String, f64>,
     read_rate: f64,
     members: usize,
     random: SmallRng,
@@ -155,6 +162,7 @@
             sends: SlotMap::with_key(),
             retries: HashMap::new(),
             answer_time: HashMap::new(),
+            first_time: HashMap::new(),
             read_rate: FIRST_RATE,
             members: 1,
         })
@@ -363,6 +371,7 @@
         }
         self.sends.insert(Send {
             target,
+            route: need.route.clone(),
             started: now,
             expected,
             unread,
@@ -380,13 +389,12 @@
 
     /// The expected time until a call of this need yields its first output, once it is sent.
     pub fn expected_first(&self, need: &Need) -> Span {
-        match need.engine_memory {
-            Some(_) => {
-                let unread = need.prompt_tokens.saturating_sub(need.prefix_tokens);
-                Span((f64::from(unread) / self.read_rate * 1000.0) as u64)
-            }
-            None => Span(self.expected_answer(&need.service) as u64),
-        }
+        let Some(_) = need.engine_memory else {
+            return Span(self.expected_answer(&need.service) as u64);
+        };
+        let reading = f64::from(need.prompt_tokens) / self.read_rate * 1000.0;
+        let measured = self.first_time.get(&need.route);
+        Span(measured.copied().unwrap_or(reading) as u64)
     }
 
     /// The first output of a call came: its prompt is read.
@@ -399,6 +407,10 @@
         }
         send.first_output = true;
         let took = now.since(send.started).0.max(1) as f64;
+        if send.unread > 0.0 {
+            let average = self.first_time.entry(send.route.clone()).or_insert(took);
+            *average += FIRST_GAIN * (took - *average);
+        }
         let Some(record) = self.targets.get_mut(send.target) else {
             return;
         };
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -387,6 +387,7 @@
         let affinity = self.route.affinity;
         Need {
             service: self.service.clone(),
+            route: self.route.name.clone(),
             engine_memory: self.engine_memory,
             prefix: if affinity { self.head.shared_prefix() } else { 0 },
             prefix_tokens: self.head.shared_tokens(),
