--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -179,7 +179,10 @@
     assert!(queue.next_calls(at(201)).is_empty(), "its room is taken");
     queue.give_up(vec![format!("{}/0", call.address)]);
     let unneeded = queue.take_unneeded();
-    assert!(queue.next_calls(at(202)).is_empty(), "its maker has not freed it yet");
+    assert!(
+        queue.next_calls(at(202)).is_empty(),
+        "its maker has not freed it yet"
+    );
     queue.freed(&unneeded[0].2);
     assert_eq!(queue.next_calls(at(203)).remove(0).items.len(), 1);
 }
@@ -301,7 +304,13 @@
     let short = spec().fetch_time(1_000);
     let long = spec().fetch_time(100_000_000);
     assert!(short < long, "{short:?} {long:?}");
-    assert!(long >= Some(Span::from_millis(800)), "800 Mbit on a link of 1000 Mbit/s: {long:?}");
-    let unknown = PoolSpec { link_mbps: 0, ..spec() };
+    assert!(
+        long >= Some(Span::from_millis(800)),
+        "800 Mbit on a link of 1000 Mbit/s: {long:?}"
+    );
+    let unknown = PoolSpec {
+        link_mbps: 0,
+        ..spec()
+    };
     assert_eq!(unknown.fetch_time(1_000), None);
 }
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -340,7 +340,8 @@
     let left = call.deadline.since(call.traffic.now());
     let another = call.history.get().sends + 1 < call.route.max_sends;
     if !call.route.repeatable() || !another {
-        return duration(left);
+        // The call's own time ends first, and says what became of it.
+        return duration(left + left + PATIENCE_LEAST);
     }
     let usual = call.first_time().scale(PATIENCE).max(PATIENCE_LEAST);
     let usual = usual.max(call.route.aim.scale(PATIENCE_SHARE));
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -265,7 +265,13 @@
             let (path, body) = (traffic.edges.pool.free)(&handles);
             if let Some(request) = request(&traffic, path, &address, &target, body) {
                 let to = (address, target);
-                spawn_local(send_free(Rc::clone(&traffic), Rc::clone(&pool), to, handles, request));
+                spawn_local(send_free(
+                    Rc::clone(&traffic),
+                    Rc::clone(&pool),
+                    to,
+                    handles,
+                    request,
+                ));
             }
         }
     }
