--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -10,8 +10,8 @@
 use crate::event_log::Line;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, Verdict,
-    handle_address,
+    CallHead, Catalog, Counter, ForwardPlan, Need, PoolSpec, Reason, Route, SendHistory, Span, StageRun,
+    TargetKey, Time, Verdict, handle_address,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -163,6 +163,8 @@
     pub input_zone: RefCell<String>,
     /// The configuration.
     pub catalog: Arc<Catalog>,
+    /// The pieces that it will still bring to pools; `None` before it is taken.
+    pub planned: RefCell<Option<PlannedPieces>>,
 }
 
 /// What a call is, before its body has been read.
@@ -288,6 +290,7 @@
         avoid: RefCell::default(),
         input_zone: RefCell::default(),
         catalog: taken.catalog,
+        planned: RefCell::default(),
     }
 }
 
@@ -315,6 +318,8 @@
     if let Err(failure) = admit(&call) {
         return fail(&traffic, guard, &failure);
     }
+    let planned = PlannedPieces::new(&traffic, &call.route, &call.head.pieces);
+    *call.planned.borrow_mut() = Some(planned);
     traffic
         .forwarder
         .borrow_mut()
@@ -467,6 +472,26 @@
         times.max().unwrap_or_default()
     }
 
+    /// The time that a pool needs for what calls of all nodes that were taken will still bring to it. Nodes get
+    /// alike shares of the calls, so this one's part tells the whole.
+    fn planned_time(&self, plan: &ForwardPlan, service: &str, pool: &PoolSpec) -> Span {
+        let mine = self
+            .traffic
+            .planned
+            .borrow()
+            .get(service)
+            .copied()
+            .unwrap_or_default();
+        let all = mine as f64 * plan.members.len().max(1) as f64;
+        let targets = plan
+            .targets
+            .values()
+            .filter(|entry| entry.service == service && !entry.leaving);
+        let places = targets.count().max(1) as f64 * f64::from(pool.slots.max(1));
+        let full_call = pool.call + Span(pool.item.0 * u64::from(pool.batch));
+        full_call.scale(all / f64::from(pool.batch.max(1)) / places)
+    }
+
     /// The expected time of the whole call: without waiting, and what waiting adds.
     fn expected(&self) -> (Span, Span) {
         let now = self.traffic.now();
@@ -498,7 +523,10 @@
                 _ => self.traffic.peers.wait(now, &id),
             };
             let queued = Span(told.unwrap_or_default().0.saturating_sub(alone.0));
-            done.push((base + alone, wait + queued));
+            let planned = pool.map_or(Span::ZERO, |pool| self.planned_time(&plan, &spec.service, pool));
+            // While the stages before run, the pool works on.
+            let ahead = Span((queued + planned).0.saturating_sub((base + wait).0));
+            done.push((base + alone, wait + ahead));
         }
         let last = done.into_iter().max_by_key(|(base, wait)| *base + *wait);
         let (base, wait) = last.unwrap_or_default();
@@ -506,6 +534,53 @@
     }
 }
 
+/// The pieces that a call will still bring to pools. Dropping it takes them off.
+pub struct PlannedPieces {
+    traffic: Rc<Traffic>,
+    pieces: RefCell<Vec<(String, u32)>>,
+}
+
+impl PlannedPieces {
+    fn new(traffic: &Rc<Traffic>, route: &Route, counts: &[u32]) -> Self {
+        let pieces: Vec<(String, u32)> = route
+            .stages
+            .iter()
+            .enumerate()
+            .map(|(stage, spec)| (spec.service.clone(), counts.get(stage).copied().unwrap_or(1)))
+            .collect();
+        let mut planned = traffic.planned.borrow_mut();
+        for (service, count) in &pieces {
+            *planned.entry(service.clone()).or_default() += u64::from(*count);
+        }
+        drop(planned);
+        Self {
+            traffic: Rc::clone(traffic),
+            pieces: RefCell::new(pieces),
+        }
+    }
+
+    /// A stage's pieces are at their pool now.
+    pub fn arrived(&self, stage: usize) {
+        if let Some((service, count)) = self.pieces.borrow_mut().get_mut(stage) {
+            take_off(&self.traffic, service, std::mem::take(count));
+        }
+    }
+}
+
+impl Drop for PlannedPieces {
+    fn drop(&mut self) {
+        for (service, count) in self.pieces.borrow().iter() {
+            take_off(&self.traffic, service, *count);
+        }
+    }
+}
+
+fn take_off(traffic: &Traffic, service: &str, count: u32) {
+    if let Some(planned) = traffic.planned.borrow_mut().get_mut(service) {
+        *planned = planned.saturating_sub(u64::from(count));
+    }
+}
+
 /// The answer to a call that no target answered.
 fn fail(traffic: &Traffic, guard: CallGuard, failure: &CallFailure) -> Response<AnswerBody> {
     let response = (traffic.edges.caller.fail)(failure);
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 use peers::Peers;
 use pools::Pools;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -52,6 +53,8 @@
     pub counters: RefCell<Counters>,
     /// Bytes of bodies that are held.
     pub held_bodies: Cell<u64>,
+    /// Pieces that calls which were taken here will still bring to each pool.
+    pub planned: RefCell<HashMap<String, u64>>,
 }
 
 impl Traffic {
@@ -98,6 +101,7 @@
         peers: Peers::default(),
         counters: RefCell::default(),
         held_bodies: Cell::new(0),
+        planned: RefCell::default(),
     });
     traffic.take_plan();
     spawn_local(callers::serve(Rc::clone(&traffic), callers));
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -68,6 +68,9 @@
         shard: (rendezvous::text_key(&call.head.id) % u128::from(shards)) as u32,
     };
     let began = traffic.now();
+    if let Some(planned) = &*call.planned.borrow() {
+        planned.arrived(ready.stage);
+    }
     let order = order(call, &ready, depth);
     let mut end = OrderEnd::Failed;
     let mut owner = Owner::Me;
