That a node serves is told at once and reaches the plan of all others

Ruled out: slow targets, the retry budget. Test: membership::that_a_node_serves_now_is_told..., red before.

--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -84,7 +84,7 @@
         /// The message.
         message: MemberMessage,
     },
-    /// Who is there, or how they are, has changed.
+    /// Who is there, how they are, or whether they serve has changed.
     Changed {
         /// The node's address.
         address: String,
@@ -218,11 +218,17 @@
         self.me.facts.serving = serving;
         self.me.facts.version = version;
         self.me.change += 1;
+        self.tell_some();
     }
 
     fn leave(&mut self) {
         self.me.health = MemberHealth::Leaving;
         self.me.change += 1;
+        self.tell_some();
+    }
+
+    /// Tells some others at once what this node says of itself; they pass it on.
+    fn tell_some(&mut self) {
         let everybody: Vec<String> = self.reachable().collect();
         let most = self.settings.most_news * 4;
         let told: Vec<String> = everybody.into_iter().choose_multiple(&mut self.random, most);
@@ -325,18 +331,32 @@
         if !newer && !worse && !speaks {
             return;
         }
+        let mut told_facts = false;
         if newer {
             known.incarnation = news.incarnation;
             known.change = news.change;
+            told_facts = known.facts.serving != news.facts.serving;
             known.facts = news.facts;
         }
         let revived = newer && (!same_run || first_hand);
         if news.health > known.health || revived || speaks {
             self.set_health(now, &address, news.health);
         }
+        if told_facts {
+            self.tell_change(&address);
+        }
         self.to_tell.insert(address, 0);
     }
 
+    fn tell_change(&mut self, address: &str) {
+        if let Some(member) = self.members.get(address) {
+            self.actions.push(MemberAction::Changed {
+                address: address.to_owned(),
+                health: member.health,
+            });
+        }
+    }
+
     /// Somebody thinks ill of this run of the node, or knows a later one: a higher incarnation refutes both.
     fn news_of_me(&mut self, news: &MemberNews) {
         let ill = news.health != MemberHealth::Alive && self.me.health == MemberHealth::Alive;
--- a/crates/barleyspool_core/tests/membership.rs
+++ b/crates/barleyspool_core/tests/membership.rs
@@ -19,6 +19,8 @@
     flying: VecDeque<(Time, String, String, MemberMessage)>,
     random: SmallRng,
     bytes: u64,
+    /// For each node, how often it told its shell that something changed.
+    changes: BTreeMap<String, u32>,
 }
 
 impl Net {
@@ -32,6 +34,7 @@
             flying: VecDeque::new(),
             random: SmallRng::seed_from_u64(seed),
             bytes: 0,
+            changes: BTreeMap::new(),
         }
     }
 
@@ -61,6 +64,7 @@
     fn send(&mut self, from: &str, actions: Vec<MemberAction>) {
         for action in actions {
             let MemberAction::Send { to, message } = action else {
+                *self.changes.entry(from.to_owned()).or_default() += 1;
                 continue;
             };
             self.bytes += rmp_size(&message);
@@ -278,3 +282,33 @@
     );
     assert!(large < 13_000.0, "{large} bytes a second");
 }
+
+/// Nodes that started together knew each other from before they served, and were never told that they did:
+/// each took itself for the only one, and all of them made calls to the same targets.
+#[test]
+fn that_a_node_serves_now_is_told_to_the_shells_of_all_others_soon() {
+    let mut net = nine(0.0, 4);
+    let not_yet = MemberEvent::Facts {
+        serving: false,
+        version: Revision(1),
+    };
+    net.step("n7", not_yet);
+    net.run(Span::from_secs(3));
+    for name in NAMES {
+        assert_eq!(net.seen(name).len(), 8, "{name}");
+    }
+    net.changes.clear();
+    let serves = MemberEvent::Facts {
+        serving: true,
+        version: Revision(2),
+    };
+    net.step("n7", serves);
+    net.run(Span::from_millis(400));
+    for name in NAMES {
+        assert!(net.seen(name).contains("n7"), "{name}");
+        assert!(
+            name == "n7" || net.changes.get(name).is_some(),
+            "the shell of {name} was not told"
+        );
+    }
+}
