An order's pieces stay in one call, in the zone of their inputs when these are large

Cause: pieces of one request that read the same 480 KB were split over calls at several targets and zones.

--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -449,7 +449,10 @@
                 continue;
             };
             for piece in 0..order.pieces.len() {
-                if items.len() as u32 >= size {
+                let full = items.len() as u32 >= self.spec.batch.max(1);
+                // An order that was begun is taken whole: its pieces read the same inputs.
+                let begun = items.last().is_some_and(|item: &PieceItem| item.order == key);
+                if full || (items.len() as u32 >= size && !begun) {
                     return items;
                 }
                 if !matches!(order.pieces[piece], Piece::Waiting) || order.order.bytes > room {
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -20,6 +20,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -416,11 +417,7 @@
         let stages = &self.route.stages;
         let is_last = |stage: usize| !stages.iter().any(|other| other.needs.contains(&stage));
         let last = (0..stages.len()).filter(|stage| is_last(*stage));
-        last.map(|stage| {
-            let pieces = self.head.pieces.get(stage).copied().unwrap_or(1);
-            stages[stage].bytes * u64::from(pieces)
-        })
-        .sum()
+        last.map(|stage| self.result_bytes(stage)).sum()
     }
 
     /// How long its inputs are kept once it has been sent; `None` when only its first output shows that they
@@ -434,10 +431,17 @@
         pools.collect::<Option<Vec<Span>>>()?.into_iter().max()
     }
 
-    /// Notes where its inputs lie: in the zone of most of their makers.
+    /// Notes where its inputs lie.
     pub fn note_inputs(&self, handles: &[String]) {
+        if let Some(zone) = self.zone_of(handles) {
+            *self.input_zone.borrow_mut() = zone;
+        }
+    }
+
+    /// The zone of most of the makers of some results.
+    pub fn zone_of(&self, handles: &[String]) -> Option<String> {
         let plan = self.traffic.plan();
-        let mut zones: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         for handle in handles {
             let address = handle_address(handle);
             let maker = plan.targets.values().find(|entry| entry.address == address);
@@ -446,9 +450,13 @@
             }
         }
         let most = zones.into_iter().max_by_key(|(_, count)| *count);
-        if let Some((zone, _)) = most {
-            zone.clone_into(&mut self.input_zone.borrow_mut());
-        }
+        most.map(|(zone, _)| zone.to_owned())
+    }
+
+    /// The size of all results of one of its stages, in bytes.
+    pub fn result_bytes(&self, stage: usize) -> u64 {
+        let pieces = self.head.pieces.get(stage).copied().unwrap_or(1);
+        self.route.stages[stage].bytes * u64::from(pieces)
     }
 
     /// The expected time of the call itself, without its stages.
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -10,6 +10,8 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
+/// Results smaller than this, in bytes, may be made in any zone.
+const ZONE_MATTERS: u64 = 100_000;
 /// Owners of a pool that are tried for one stage.
 const MOST_OWNERS: usize = 4;
 
@@ -133,7 +135,28 @@
         due: (call.arrived + call.route.aim) - later,
         rank: call.rank,
         bytes: spec.bytes,
-        zone: call.zone(),
+        zone: zone(call, ready),
+    }
+}
+
+/// The zone in which pieces should be made: where their inputs lie, or where the call that reads them will run.
+/// Empty when so little is moved that it does not matter.
+fn zone(call: &Call, ready: &ReadyStage) -> String {
+    let stages = &call.route.stages;
+    let spec = &stages[ready.stage];
+    let input_bytes: u64 = spec.needs.iter().map(|needed| call.result_bytes(*needed)).sum();
+    let read_by_call = !stages.iter().any(|other| other.needs.contains(&ready.stage));
+    let output_bytes = if read_by_call {
+        call.result_bytes(ready.stage)
+    } else {
+        0
+    };
+    if input_bytes.max(output_bytes) < ZONE_MATTERS {
+        String::new()
+    } else if input_bytes > output_bytes {
+        call.zone_of(&ready.inputs).unwrap_or_default()
+    } else {
+        call.zone()
     }
 }
 
