--- a/crates/barleyspool_core/tests/membership.rs
+++ b/crates/barleyspool_core/tests/membership.rs
@@ -307,7 +307,7 @@
     for name in NAMES {
         assert!(net.seen(name).contains("n7"), "{name}");
         assert!(
-            name == "n7" || net.changes.get(name).is_some(),
+            name == "n7" || net.changes.contains_key(name),
             "the shell of {name} was not told"
         );
     }
--- /dev/null
+++ b/crates/barleyspool_ctl/src/explain_log.rs
@@ -0,0 +1,125 @@
+//! A request's lines from the logs of several processes, in order, and its cause.
+
+use serde_json::{Map, Value};
+use std::path::PathBuf;
+use std::{fs, io};
+
+/// {path}: {cause}
+#[derive(Debug, displaydoc::Display)]
+pub struct UnreadableLog {
+    /// The file.
+    pub path: String,
+    /// What the operating system said.
+    pub cause: io::Error,
+}
+
+impl std::error::Error for UnreadableLog {}
+
+/// One line that names a request, or says why a target of it was left out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogLine {
+    /// When it was written, in milliseconds of the Unix epoch by the clock of its node.
+    pub at_ms: u64,
+    /// The node that wrote it.
+    pub node: String,
+    /// What happened.
+    pub event: String,
+    /// Everything else that it says.
+    pub fields: Map<String, Value>,
+}
+
+impl LogLine {
+    fn parse(text: &str) -> Option<Self> {
+        // A platform may put its own time and name before the line.
+        let start = text.find('{')?;
+        let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        Some(Self {
+            at_ms: fields.remove("at_ms")?.as_u64()?,
+            node: fields.remove("node")?.as_str()?.to_owned(),
+            event: fields.remove("event")?.as_str()?.to_owned(),
+            fields,
+        })
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn number(&self, field: &str) -> u64 {
+        self.fields.get(field).and_then(Value::as_u64).unwrap_or_default()
+    }
+}
+
+/// The lines that name `id`, from all files, by time.
+///
+/// # Errors
+/// When a file cannot be read. Lines that are no log lines are passed over.
+pub fn lines_of(id: &str, files: &[PathBuf]) -> Result<Vec<LogLine>, UnreadableLog> {
+    let mut lines = Vec::new();
+    for path in files {
+        let text = fs::read_to_string(path).map_err(|cause| UnreadableLog {
+            path: path.display().to_string(),
+            cause,
+        })?;
+        let named = text
+            .lines()
+            .filter(|line| line.contains(id))
+            .filter_map(LogLine::parse);
+        lines.extend(named.filter(|line| line.text("id") == id));
+    }
+    lines.sort_by_key(|line| line.at_ms);
+    Ok(lines)
+}
+
+/// What became of the request, in a sentence.
+pub fn cause(lines: &[LogLine]) -> String {
+    let Some(end) = lines.iter().rev().find(|line| line.event == "ended") else {
+        return "its end was not logged: the process ended first, or the line was dropped".to_owned();
+    };
+    let status = end.number("status");
+    let took = end.number("took_ms");
+    match end.text("reason") {
+        "" => format!(
+            "answered by a target with status {status} after {took} ms{}",
+            slowest(lines)
+        ),
+        reason => {
+            let step = located(" at ", end.text("step"));
+            let peer = located(" by ", end.text("peer"));
+            let verdict = match end.text("verdict") {
+                "not_run" => "nothing of it ran",
+                _ => "it ran or may have run",
+            };
+            let come_back = match end.number("come_back_ms") {
+                0 => String::new(),
+                ms => format!("; it was told to come back after {ms} ms"),
+            };
+            format!(
+                "{reason}{step}{peer} after {took} ms; {verdict}{come_back}{}",
+                slowest(lines)
+            )
+        }
+    }
+}
+
+fn located(word: &str, place: &str) -> String {
+    if place.is_empty() {
+        String::new()
+    } else {
+        format!("{word}{place}")
+    }
+}
+
+/// The stage that took longest, when stages ran.
+fn slowest(lines: &[LogLine]) -> String {
+    let stages = lines.iter().filter(|line| line.event == "stage");
+    let slowest = stages.max_by_key(|line| line.number("took_ms"));
+    slowest.map_or(String::new(), |line| {
+        format!(
+            "; its longest stage was {} ({}) with {} ms",
+            line.number("stage"),
+            line.text("service"),
+            line.number("took_ms")
+        )
+    })
+}
--- a/crates/barleyspool_ctl/src/flags.rs
+++ b/crates/barleyspool_ctl/src/flags.rs
@@ -40,6 +40,13 @@
             /// Whether the request may run at most once.
             optional --unrepeatable
         }
+        /// What became of a request, from the logs of gateways: 0 when a line names it, 1 when none does.
+        cmd explain-log {
+            /// The request's id.
+            required id: String
+            /// Log files, of one or several processes.
+            repeated file: PathBuf
+        }
         /// Settings files.
         cmd settings {
             /// Check an entry node's settings: 0 when they are good, 2 when not.
--- a/crates/barleyspool_ctl/src/main.rs
+++ b/crates/barleyspool_ctl/src/main.rs
@@ -1,12 +1,13 @@
 //! `barleyspool`: the operators' command line.
 
+mod explain_log;
 mod flags;
 mod output;
 
 use barleyspool_entry::EntrySettings;
 use barleyspool_wire::rpc::operations_client::OperationsClient;
 use barleyspool_wire::{net, rpc};
-use flags::{Barleyspool, BarleyspoolCmd, SettingsCmd};
+use flags::{Barleyspool, BarleyspoolCmd, ExplainLog, SettingsCmd};
 use hyper_util::rt::TokioIo;
 use output::Output;
 use std::process::ExitCode;
@@ -52,6 +53,9 @@
     if let BarleyspoolCmd::Settings(settings) = &flags.subcommand {
         return check_settings(settings);
     }
+    if let BarleyspoolCmd::ExplainLog(wanted) = &flags.subcommand {
+        return explain_log(wanted, &output);
+    }
     let Some(node) = flags.node.clone() else {
         eprintln!("barleyspool: --node IP:PORT is needed: the operator address of an entry node");
         return ExitCode::from(EXIT_USAGE);
@@ -145,7 +149,8 @@
                 return Ok(ExitCode::from(EXIT_NO));
             }
         }
-        BarleyspoolCmd::Settings(_) => {}
+        // These ask no node; they were answered before.
+        BarleyspoolCmd::Settings(_) | BarleyspoolCmd::ExplainLog(_) => {}
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -165,3 +170,20 @@
         ..rpc::RunRequest::default()
     }
 }
+
+/// Prints a request's lines in order, and its cause.
+fn explain_log(wanted: &ExplainLog, output: &Output) -> ExitCode {
+    let lines = match explain_log::lines_of(&wanted.id, &wanted.file) {
+        Ok(lines) => lines,
+        Err(error) => {
+            eprintln!("barleyspool: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if lines.is_empty() {
+        eprintln!("barleyspool: no line names {}", wanted.id);
+        return ExitCode::from(EXIT_NO);
+    }
+    output.request_log(&lines, &explain_log::cause(&lines));
+    ExitCode::SUCCESS
+}
--- a/crates/barleyspool_ctl/src/output.rs
+++ b/crates/barleyspool_ctl/src/output.rs
@@ -1,6 +1,7 @@
 //! Printing answers, as tables or as JSON.
 #![allow(clippy::print_stdout, reason = "printing is what this module is for")]
 
+use crate::explain_log::LogLine;
 use barleyspool_wire::rpc;
 use serde_json::{Value, json};
 
@@ -143,6 +144,29 @@
     }
 
     /// Rows under names, as wide as they need to be.
+    pub fn request_log(&self, lines: &[LogLine], cause: &str) {
+        if self.json {
+            let line = |line: &LogLine| json!({ "at_ms": line.at_ms, "node": line.node, "event": line.event, "fields": line.fields });
+            let lines: Vec<Value> = lines.iter().map(line).collect();
+            return println!("{}", json!({ "cause": cause, "lines": lines }));
+        }
+        let began = lines.first().map_or(0, |line| line.at_ms);
+        for line in lines {
+            let fields = line.fields.iter().filter(|(name, _)| *name != "id");
+            let fields: Vec<String> = fields
+                .map(|(name, value)| format!("{name}={}", plain(value)))
+                .collect();
+            let after = line.at_ms - began;
+            println!(
+                "{after:>6} ms  {:<16} {:<10} {}",
+                line.node,
+                line.event,
+                fields.join(" ")
+            );
+        }
+        println!("cause: {cause}");
+    }
+
     fn rows(&self, names: &[&str], rows: Vec<Vec<Value>>) {
         if self.json {
             let object = |row: Vec<Value>| {
--- /dev/null
+++ b/crates/barleyspool_ctl/tests/explain_log.rs
@@ -0,0 +1,67 @@
+//! `barleyspool explain-log`, as an operator runs it.
+
+#![allow(clippy::expect_used, reason = "a test stops where it fails")]
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("barleyspool-explain-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("a temporary file");
+    path
+}
+
+fn run(arguments: &[&str], files: &[&PathBuf]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_barleyspool"));
+    command.args(arguments).args(files);
+    command.output().expect("the program runs")
+}
+
+const ONE: &str = r#"  12.1 node-a {"at_ms":1000,"node":"node-a","event":"admitted","id":"c1","route":"r","left_ms":900}
+{"at_ms":1400,"node":"node-a","event":"ended","id":"c1","route":"r","status":503,"reason":"pool_busy","verdict":"not_run","step":"rerank","peer":"","come_back_ms":250,"took_ms":400}
+{"at_ms":1200,"node":"node-a","event":"ended","id":"c10","status":200,"reason":""}
+not a line
+"#;
+const OTHER: &str = r#"{"at_ms":1300,"node":"node-b","event":"stage","id":"c1","stage":2,"service":"rerank","end":"too_late","took_ms":290}
+"#;
+
+#[test]
+fn the_lines_of_a_request_come_in_order_with_its_cause() {
+    let files = [file("one", ONE), file("other", OTHER)];
+    let output = run(&["explain-log", "c1"], &[&files[0], &files[1]]);
+    assert!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stdout);
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(3))
+        .collect();
+    assert_eq!(events[..3], ["admitted", "stage", "ended"], "{text}");
+    let cause = text.lines().last().expect("a last line");
+    for word in ["pool_busy", "rerank", "nothing of it ran", "250 ms", "290 ms"] {
+        assert!(cause.contains(word), "{word} in: {cause}");
+    }
+    assert!(!text.contains("c10"));
+}
+
+#[test]
+fn it_is_said_when_nothing_names_the_request_or_a_file_cannot_be_read() {
+    let one = file("none", ONE);
+    assert_eq!(run(&["explain-log", "c9"], &[&one]).status.code(), Some(1));
+    let missing = PathBuf::from("/nowhere/log");
+    let output = run(&["explain-log", "c1"], &[&missing]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("/nowhere/log"));
+}
+
+#[test]
+fn as_json_it_names_cause_and_lines() {
+    let one = file("json", ONE);
+    let output = run(&["--json", "explain-log", "c1"], &[&one]);
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(value["lines"].as_array().map(Vec::len), Some(2));
+    assert!(
+        value["cause"]
+            .as_str()
+            .is_some_and(|cause| cause.contains("pool_busy"))
+    );
+}
