--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -50,6 +50,16 @@
     waits: RefCell<HashMap<PoolId, (Span, Time)>>,
 }
 
+/// What became of an order at another node.
+enum Made {
+    /// It ended there.
+    Ended(OrderEnd),
+    /// The connection broke.
+    Broken,
+    /// The node cannot be reached or is silent.
+    Unreachable,
+}
+
 /// The owner of a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Owner {
@@ -92,23 +102,25 @@
         id: &PoolId,
         order: &PieceOrder,
     ) -> Option<OrderEnd> {
-        let made = self.try_make(traffic, address, id, order).await;
-        if made.is_none() {
+        let mut made = self.try_make(traffic, address, id, order).await;
+        if matches!(made, Made::Broken) {
+            // A connection that was reset says nothing of the node: it gets another one at once.
             self.links.borrow_mut().remove(address);
-            let until = traffic.now() + DOWN_FOR;
-            self.down.borrow_mut().insert(address.to_owned(), until);
+            made = self.try_make(traffic, address, id, order).await;
+        }
+        if let Made::Ended(end) = made {
+            return Some(end);
         }
-        made
+        self.links.borrow_mut().remove(address);
+        let until = traffic.now() + DOWN_FOR;
+        self.down.borrow_mut().insert(address.to_owned(), until);
+        None
     }
 
-    async fn try_make(
-        &self,
-        traffic: &Traffic,
-        address: &str,
-        id: &PoolId,
-        order: &PieceOrder,
-    ) -> Option<OrderEnd> {
-        let link = self.link(address).await?;
+    async fn try_make(&self, traffic: &Traffic, address: &str, id: &PoolId, order: &PieceOrder) -> Made {
+        let Some(link) = self.link(address).await else {
+            return Made::Unreachable;
+        };
         let now = traffic.now();
         let remote = RemoteOrder {
             service: id.service.clone(),
@@ -127,13 +139,13 @@
         loop {
             tokio::select! {
                 end = made.as_mut() => {
-                    let end = end.ok()?;
+                    let Ok(end) = end else { return Made::Broken };
                     link.heard.set(Instant::now());
                     self.waits.borrow_mut().insert(id.clone(), (end.wait, traffic.now()));
-                    return Some(end.end);
+                    return Made::Ended(end.end);
                 }
                 there = still_there(&link) => if !there {
-                    return None;
+                    return Made::Unreachable;
                 },
             }
         }
