--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -92,6 +92,25 @@
     pub input_bytes: u64,
     /// Targets that failed it already.
     pub avoid: Vec<TargetKey>,
+    /// Set when this node places the calls of all nodes at the engines of a shard.
+    pub placing: Option<Shard>,
+}
+
+/// A part of the targets of a service: each belongs to one of `of` shards.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shard {
+    /// Which one, from 0.
+    pub number: u32,
+    /// How many there are.
+    pub of: u32,
+}
+
+impl Shard {
+    /// Whether a target belongs to it.
+    pub fn holds(self, target: &str) -> bool {
+        let picked = rendezvous::pick(rendezvous::text_key(target), (0..self.of).map(u64::from));
+        picked == Some(u64::from(self.number))
+    }
 }
 
 /// The target of a send.
@@ -209,6 +228,22 @@
         self.targets.values()
     }
 
+    /// The target of that id, when it may be used now.
+    pub fn usable(&mut self, now: Time, id: &str) -> Option<Chosen> {
+        let key = *self.by_id.get(id)?;
+        let record = self.targets.get_mut(key)?;
+        record.usable(now, &self.chart).then(|| Chosen {
+            target: key,
+            id: record.entry.id.clone(),
+            address: record.entry.address.clone(),
+        })
+    }
+
+    /// The key of the target of that id.
+    pub fn key(&self, id: &str) -> Option<TargetKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// What is known of one target.
     pub fn target(&self, key: TargetKey) -> Option<&TargetRecord> {
         self.targets.get(key)
@@ -225,6 +260,7 @@
         let mut usable: Vec<TargetKey> = Vec::with_capacity(keys.len());
         for key in &keys {
             if let Some(record) = self.targets.get_mut(*key)
+                && need.placing.is_none_or(|shard| shard.holds(&record.entry.id))
                 && record.usable(now, &self.chart)
             {
                 usable.push(*key);
@@ -287,7 +323,11 @@
 
     fn choose_engine(&mut self, now: Time, need: &Need, memory: u64, usable: &[TargetKey]) -> TargetKey {
         let zone = self.zone(need).to_owned();
-        let home = self.prefix_home(need.prefix, usable);
+        // Whoever places the calls of all nodes knows what each engine was sent; others meet at the home.
+        let home = match need.placing {
+            Some(_) => None,
+            None => self.prefix_home(need.prefix, usable),
+        };
         let crossing = FAR_TOKENS + FAR_TOKENS_PER_MB * need.input_bytes as f64 / 1e6;
         let score = |key: &TargetKey| {
             let record = &self.targets[*key];
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -26,7 +26,7 @@
     Route, RouteKind, Share, StageSpec,
 };
 pub use feed_cursor::{FeedCursor, FeedStep};
-pub use forwarder::{Choose, Chosen, ForwardSettings, Forwarder, Need, SendKey};
+pub use forwarder::{Choose, Chosen, ForwardSettings, Forwarder, Need, SendKey, Shard};
 pub use piece_queue::{
     CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PieceQueue,
     PieceRunner, handle_address,
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -401,6 +401,7 @@
             zone: self.input_zone.borrow().clone(),
             input_bytes: self.input_bytes(),
             avoid: self.avoid.borrow().clone(),
+            placing: None,
         }
     }
 
@@ -438,6 +439,16 @@
         }
     }
 
+    /// The zone of its inputs, or this node's own.
+    pub fn zone_of_inputs(&self) -> String {
+        let zone = self.input_zone.borrow();
+        if zone.is_empty() {
+            self.traffic.shared.settings.zone.clone()
+        } else {
+            zone.clone()
+        }
+    }
+
     /// The zone of most of the makers of some results.
     pub fn zone_of(&self, handles: &[String]) -> Option<String> {
         let plan = self.traffic.plan();
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -4,6 +4,7 @@
 use super::call::{Call, CallGuard};
 use super::callers::duration;
 use super::connections::{Connection, SendFailure};
+use super::placement::{self, Placement};
 use super::results::Results;
 use super::stream_relay::{self, Relay};
 use crate::edges::{AnswerHead, SendHead};
@@ -48,11 +49,12 @@
     /// The target of the send.
     pub chosen: Chosen,
     key: Option<SendKey>,
+    placement: Option<Placement>,
 }
 
 impl SendGuard {
     /// A send begins.
-    pub fn begin(call: &Rc<Call>, chosen: Chosen) -> Self {
+    pub fn begin(call: &Rc<Call>, (chosen, placement): (Chosen, Option<Placement>)) -> Self {
         let traffic = &call.traffic;
         let key = traffic
             .forwarder
@@ -62,11 +64,15 @@
             call: Rc::clone(call),
             chosen,
             key: Some(key),
+            placement,
         }
     }
 
     /// The first output came.
-    pub fn first_output(&self) {
+    pub fn first_output(&mut self) {
+        if let Some(placement) = &mut self.placement {
+            placement.first_output();
+        }
         if let Some(key) = self.key {
             let traffic = &self.call.traffic;
             traffic.forwarder.borrow_mut().first_output(traffic.now(), key);
@@ -75,6 +81,9 @@
 
     /// The send ended.
     pub fn end(&mut self, end: SendEnd) {
+        if let Some(mut placement) = self.placement.take() {
+            placement.end(end);
+        }
         let Some(key) = self.key.take() else { return };
         let traffic = &self.call.traffic;
         let now = traffic.now();
@@ -229,14 +238,17 @@
     allowed
 }
 
-/// Chooses a target; waits a little when all are full.
-pub async fn choose(call: &Call) -> Result<Chosen, CallFailure> {
+/// Chooses a target; waits a little when all are full. Engines are chosen by their owner when it answers.
+pub async fn choose(call: &Call) -> Result<(Chosen, Option<Placement>), CallFailure> {
+    if let Some((chosen, placement)) = placement::place(call).await {
+        return Ok((chosen, Some(placement)));
+    }
     let traffic = &call.traffic;
     let until = traffic.now() + call.route.aim.scale(FULL_SHARE);
     loop {
         let choice = traffic.forwarder.borrow_mut().choose(traffic.now(), &call.need());
         match choice {
-            Choose::Send(chosen) => return Ok(chosen),
+            Choose::Send(chosen) => return Ok((chosen, None)),
             Choose::Busy(come_back) if traffic.now() >= until => {
                 let failure = if call.history.get().may_have_run {
                     CallFailure::unknown(Reason::NoTarget)
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod final_send;
 mod peers;
+mod placement;
 mod pool;
 mod pools;
 mod results;
@@ -18,6 +19,7 @@
 use barleyspool_core::{Counter, Counters, ForwardPlan, Forwarder, Time};
 use connections::Connections;
 use peers::Peers;
+use placement::Placements;
 use pools::Pools;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -53,6 +55,8 @@
     pub counters: RefCell<Counters>,
     /// Bytes of bodies that are held.
     pub held_bodies: Cell<u64>,
+    /// Calls that this node has placed at engines.
+    pub placements: RefCell<Placements>,
     /// Pieces that calls which were taken here will still bring to each pool.
     pub planned: RefCell<HashMap<String, u64>>,
 }
@@ -101,6 +105,7 @@
         peers: Peers::default(),
         counters: RefCell::default(),
         held_bodies: Cell::new(0),
+        placements: RefCell::default(),
         planned: RefCell::default(),
     });
     traffic.take_plan();
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -1,10 +1,13 @@
 //! Pieces for and from other nodes.
 
 use super::Traffic;
+use super::placement;
 use super::pools::PoolId;
 use barleyspool_core::{OrderEnd, PieceOrder, Span, Time, rendezvous};
 use barleyspool_wire::net;
-use barleyspool_wire::pieces::{self, Pieces, PiecesClient, RemoteEnd, RemoteOrder, RemoteRelease};
+use barleyspool_wire::pieces::{
+    self, Pieces, PiecesClient, PlaceRequest, PlaceStep, RemoteEnd, RemoteOrder, RemoteRelease,
+};
 use futures::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,6 +37,10 @@
     Make(RemoteOrder, oneshot::Sender<RemoteEnd>),
     /// Free results.
     Release(RemoteRelease),
+    /// Choose an engine.
+    Place(PlaceRequest, oneshot::Sender<Option<String>>),
+    /// A placed call goes on.
+    Placed(String, PlaceStep),
 }
 
 struct Link {
@@ -184,6 +191,25 @@
     }
 }
 
+impl Peers {
+    /// Lets another node choose an engine.
+    pub async fn place(&self, address: &str, request: PlaceRequest) -> Option<String> {
+        let link = self.link(address).await?;
+        link.client
+            .place(context::current(), request)
+            .await
+            .ok()
+            .flatten()
+    }
+
+    /// Tells another node how a call that it placed goes on. What is lost it forgets by itself.
+    pub async fn placed(&self, address: &str, call: String, step: PlaceStep) {
+        if let Some(link) = self.link(address).await {
+            let _ = link.client.placed(context::current(), call, step).await;
+        }
+    }
+}
+
 /// Waits a while, then makes sure that the node answers; orders that share a link share the question.
 async fn still_there(link: &Link) -> bool {
     tokio::time::sleep(SILENT).await;
@@ -225,6 +251,16 @@
         let _ = self.jobs.send(PeerJob::Release(release));
     }
 
+    async fn place(self, _: Context, request: PlaceRequest) -> Option<String> {
+        let (reply, placed) = oneshot::channel();
+        self.jobs.send(PeerJob::Place(request, reply)).ok()?;
+        placed.await.ok().flatten()
+    }
+
+    async fn placed(self, _: Context, call: String, step: PlaceStep) {
+        let _ = self.jobs.send(PeerJob::Placed(call, step));
+    }
+
     async fn ping(self, _: Context) {}
 }
 
@@ -247,6 +283,11 @@
             PeerJob::Make(order, reply) => {
                 spawn_local(make_for_peer(Rc::clone(&traffic), order, reply));
             }
+            PeerJob::Place(request, reply) => {
+                // When the other node does not wait any more it has chosen alone.
+                let _ = reply.send(placement::place_here(&traffic, &request));
+            }
+            PeerJob::Placed(call, step) => placement::take_step(&traffic, &call, step),
             PeerJob::Release(release) => {
                 let id = PoolId {
                     service: release.service,
--- a/crates/barleyspool_wire/src/pieces.rs
+++ b/crates/barleyspool_wire/src/pieces.rs
@@ -44,6 +44,46 @@
     pub handles: Vec<String>,
 }
 
+/// Asks the owner of a service of engines which of them a call should go to.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(crate = "tarpc::serde")]
+pub struct PlaceRequest {
+    /// The call's id.
+    pub call: String,
+    /// The service.
+    pub service: String,
+    /// Which shard of it.
+    pub shard: u32,
+    /// The call's route.
+    pub route: String,
+    /// Tokens that fit into one engine.
+    pub engine_memory: u64,
+    /// The shared beginning of its prompt; zero for none.
+    pub prefix: u64,
+    /// Tokens of that beginning.
+    pub prefix_tokens: u32,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// Where its inputs lie.
+    pub zone: String,
+    /// The size of its inputs, in bytes.
+    pub input_bytes: u64,
+    /// Ids of targets that failed it already.
+    pub avoid: Vec<String>,
+}
+
+/// How a placed call goes on.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(crate = "tarpc::serde")]
+pub enum PlaceStep {
+    /// Its first output came.
+    FirstOutput,
+    /// It ended well, or its caller left.
+    Ended,
+    /// Its target failed it.
+    Failed,
+}
+
 /// What the owner of a pool does for other nodes.
 #[tarpc::service]
 pub trait Pieces {
@@ -51,6 +91,10 @@
     async fn make(order: RemoteOrder) -> RemoteEnd;
     /// Frees results.
     async fn release(release: RemoteRelease);
+    /// Chooses an engine for a call; none when no engine is usable.
+    async fn place(request: PlaceRequest) -> Option<String>;
+    /// Tells how a placed call goes on.
+    async fn placed(call: String, step: PlaceStep);
     /// Answers, so that the asking node sees that this one is there.
     async fn ping();
 }
