--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -13,6 +13,10 @@
     pub struct SendKey;
 }
 
+/// How sure the owner of engines is that a prefix is held at its home when it has not sent it there itself.
+const HOME_TRUST: f64 = 0.6;
+/// What a token of a shared prefix that has to be read counts: reading it elsewhere again is waste besides.
+const REREAD_WEIGHT: f64 = 1.5;
 /// What one running request adds to the expected wait, in prompt tokens.
 const RUNNING_TOKENS: f64 = 250.0;
 /// What a megabyte of inputs that has to cross zones is weighed with, in prompt tokens.
@@ -323,16 +327,14 @@
 
     fn choose_engine(&mut self, now: Time, need: &Need, memory: u64, usable: &[TargetKey]) -> TargetKey {
         let zone = self.zone(need).to_owned();
-        // Whoever places the calls of all nodes knows what each engine was sent; others meet at the home.
-        let home = match need.placing {
-            Some(_) => None,
-            None => self.prefix_home(need.prefix, usable),
-        };
+        let home = self.prefix_home(need.prefix, usable);
+        let own = own_tokens(need);
         let crossing = FAR_TOKENS + FAR_TOKENS_PER_MB * need.input_bytes as f64 / 1e6;
         let score = |key: &TargetKey| {
             let record = &self.targets[*key];
             let far = if record.entry.zone == zone { 0.0 } else { crossing };
-            let unread = self.unread_tokens(now, need, memory, *key, home);
+            let prefix = self.unread_prefix(now, need, memory, *key, home);
+            let unread = own + prefix * REREAD_WEIGHT;
             let running = RUNNING_TOKENS * f64::from(record.in_flight);
             let failing = FAILING_TOKENS * record.failing_now(now);
             (record.unread_tokens + unread + running) * record.slowness_now(now) + far + failing
@@ -341,8 +343,8 @@
         self.least(usable, &scores)
     }
 
-    /// The tokens of a call's prompt that a target would have to read.
-    fn unread_tokens(
+    /// The tokens of a call's shared prefix that a target would have to read, as far as is known.
+    fn unread_prefix(
         &self,
         now: Time,
         need: &Need,
@@ -350,13 +352,18 @@
         key: TargetKey,
         home: Option<TargetKey>,
     ) -> f64 {
-        let holds = Some(key) == home || self.targets[key].prefixes.holds(now, need.prefix, memory);
-        let cached = if need.prefix != 0 && holds {
-            need.prefix_tokens
+        let held = if need.prefix == 0 {
+            0.0
+        } else if self.targets[key].prefixes.holds(now, need.prefix, memory) {
+            1.0
+        } else if Some(key) == home {
+            // Whoever places the calls of all nodes knows better what the home was sent, but not what an
+            // owner before it did.
+            if need.placing.is_some() { HOME_TRUST } else { 1.0 }
         } else {
-            0
+            0.0
         };
-        f64::from(need.prompt_tokens.saturating_sub(cached))
+        f64::from(need.prefix_tokens) * (1.0 - held)
     }
 
     /// The target at which all nodes let calls with the same prefix meet. Zones do not matter: reading a long
@@ -392,7 +399,7 @@
     pub fn begin(&mut self, now: Time, need: &Need, target: TargetKey) -> SendKey {
         let (expected, unread, queue_tokens) = match need.engine_memory {
             Some(memory) => {
-                let unread = self.unread_tokens(now, need, memory, target, None);
+                let unread = own_tokens(need) + self.unread_prefix(now, need, memory, target, None);
                 let before = self
                     .targets
                     .get(target)
@@ -570,3 +577,8 @@
         )
     }
 }
+
+/// The tokens of a call's prompt that no other call shares.
+fn own_tokens(need: &Need) -> f64 {
+    f64::from(need.prompt_tokens.saturating_sub(need.prefix_tokens))
+}
--- a/crates/barleyspool_core/tests/forward_choice.rs
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -3,7 +3,8 @@
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
 use barleyspool_core::{
-    Choose, Chosen, ForwardPlan, ForwardSettings, Forwarder, Need, SendEnd, TargetEntry, TargetTable, Time,
+    Choose, Chosen, ForwardPlan, ForwardSettings, Forwarder, Need, SendEnd, Shard, TargetEntry, TargetTable,
+    Time,
 };
 use std::sync::Arc;
 
@@ -179,3 +180,59 @@
     let slow = counts.get("i-0").copied().unwrap_or(0);
     assert!(slow * 4 < counts["i-2"], "{counts:?}");
 }
+
+fn placing(prefix: u64) -> Need {
+    Need {
+        placing: Some(Shard { number: 0, of: 1 }),
+        ..engine_need(prefix)
+    }
+}
+
+/// Nodes that each saw a part of the calls sent long prompts to engines that others kept busy.
+#[test]
+fn whoever_places_for_all_spreads_new_prefixes_by_load_and_keeps_old_ones_where_they_are() {
+    let mut owner = forwarder(1, 6);
+    let mut first = std::collections::BTreeMap::new();
+    let mut load = std::collections::BTreeMap::new();
+    for prefix in 1..=12 {
+        let chosen = choose(&mut owner, at(0), &placing(prefix));
+        owner.begin(at(0), &placing(prefix), chosen.target);
+        *load.entry(chosen.id.clone()).or_insert(0) += 1;
+        first.insert(prefix, chosen);
+    }
+    assert!(
+        load.values().all(|count| *count == 2),
+        "twelve cold prompts at six engines: {load:?}"
+    );
+    let mut owner = forwarder(1, 6);
+    for (prefix, chosen) in &first {
+        let send = owner.begin(at(0), &placing(*prefix), chosen.target);
+        owner.first_output(at(300), send);
+        owner.end(at(900), send, SendEnd::Answered { success: true });
+    }
+    for (prefix, chosen) in &first {
+        assert_eq!(choose(&mut owner, at(1000), &placing(*prefix)).id, chosen.id);
+    }
+}
+
+#[test]
+fn a_new_owner_finds_idle_prefixes_at_the_home_that_all_nodes_know() {
+    let mut old = forwarder(1, 6);
+    let mut new = forwarder(9, 6);
+    for prefix in 1..50 {
+        let idle = choose(&mut old, at(0), &engine_need(prefix)).id;
+        assert_eq!(choose(&mut new, at(0), &placing(prefix)).id, idle);
+    }
+}
+
+#[test]
+fn shards_share_all_targets_out() {
+    let of = 3;
+    for place in 0..60 {
+        let id = format!("i-{place}");
+        let holders = (0..of)
+            .filter(|number| Shard { number: *number, of }.holds(&id))
+            .count();
+        assert_eq!(holders, 1, "{id}");
+    }
+}
