--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -1,10 +1,11 @@
 //! Which target answers a forwarded call, and whether a call may be sent again.
 
-use super::{ForwardPlan, RetryWindow, SendEnd, TargetKey, TargetRecord};
+use super::choice::own_tokens;
+use super::{Chosen, ForwardPlan, Need, RetryWindow, SendEnd, TargetKey, TargetRecord};
 use crate::chart::{Chart, ChartError};
-use crate::{Span, TARGET_CHART, TargetEvent, TargetPhase, Time, rendezvous};
+use crate::{Span, TARGET_CHART, TargetEvent, TargetPhase, Time};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap};
 
@@ -13,24 +14,6 @@
     pub struct SendKey;
 }
 
-/// How sure the owner of engines is that a prefix is held at its home when it has not sent it there itself.
-const HOME_TRUST: f64 = 0.6;
-/// What a token of a shared prefix that has to be read counts: reading it elsewhere again is waste besides.
-const REREAD_WEIGHT: f64 = 1.5;
-/// What one running request adds to the expected wait, in prompt tokens.
-const RUNNING_TOKENS: f64 = 250.0;
-/// What a megabyte of inputs that has to cross zones is weighed with, in prompt tokens.
-const FAR_TOKENS_PER_MB: f64 = 400.0;
-/// What a target in another zone has to be better by in any case, in prompt tokens.
-const FAR_TOKENS: f64 = 200.0;
-/// What a target in another zone has to be better by, as a share of the time of an answer.
-const FAR_SHARE: f64 = 0.5;
-/// What an engine that fails every call has to be better by, in prompt tokens.
-const FAILING_TOKENS: f64 = 20_000.0;
-/// What a plain target that fails every call has to be better by, in times of an answer.
-const FAILING_TIMES: f64 = 4.0;
-/// Differences in the time of an answer below this share say nothing.
-const SCORE_STEP: f64 = 0.1;
 /// Prompt tokens read in a millisecond until something has been measured.
 const FIRST_RATE: f64 = 40.0;
 /// The time of an answer until something has been measured.
@@ -43,8 +26,6 @@
 const LEAST_TOKENS: f64 = 500.0;
 /// How long a target that said it is full gets nothing.
 const FULL_WAIT: Span = Span::from_millis(40);
-/// When to come back when every target is busy or away.
-const BUSY_WAIT: Span = Span::from_millis(250);
 /// The most targets, as a share, that failures may keep out; beyond it the view is suspect.
 const MOST_OUT: f64 = 0.5;
 
@@ -75,70 +56,9 @@
     }
 }
 
-/// What a call needs of its target.
-#[derive(Clone, Debug, Default)]
-pub struct Need {
-    /// The service.
-    pub service: String,
-    /// The route, whose calls resemble each other.
-    pub route: String,
-    /// Whether model engines serve it, and how many tokens one of them holds.
-    pub engine_memory: Option<u64>,
-    /// The shared beginning of its prompt; zero for none.
-    pub prefix: u64,
-    /// Tokens of that beginning.
-    pub prefix_tokens: u32,
-    /// Tokens of the whole prompt.
-    pub prompt_tokens: u32,
-    /// Where its inputs lie; empty for this node's own zone.
-    pub zone: String,
-    /// The size of its inputs, in bytes.
-    pub input_bytes: u64,
-    /// Targets that failed it already.
-    pub avoid: Vec<TargetKey>,
-    /// Set when this node places the calls of all nodes at the engines of a shard.
-    pub placing: Option<Shard>,
-}
-
-/// A part of the targets of a service: each belongs to one of `of` shards.
-#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
-pub struct Shard {
-    /// Which one, from 0.
-    pub number: u32,
-    /// How many there are.
-    pub of: u32,
-}
-
-impl Shard {
-    /// Whether a target belongs to it.
-    pub fn holds(self, target: &str) -> bool {
-        let picked = rendezvous::pick(rendezvous::text_key(target), (0..self.of).map(u64::from));
-        picked == Some(u64::from(self.number))
-    }
-}
-
-/// The target of a send.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Chosen {
-    /// The target.
-    pub target: TargetKey,
-    /// The run of it that is meant.
-    pub id: String,
-    /// IP number and port.
-    pub address: String,
-}
-
-/// An answer of [`Forwarder::choose`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Choose {
-    /// Send it there.
-    Send(Chosen),
-    /// No target is usable now; when to come back.
-    Busy(Span),
-}
-
+/// A send that is under way, for the books.
 #[derive(Clone, Debug)]
-struct Send {
+pub(super) struct Send {
     target: TargetKey,
     route: String,
     started: Time,
@@ -154,19 +74,19 @@
 /// Chooses targets for forwarded calls and rations retries, for one traffic thread.
 #[derive(Debug)]
 pub struct Forwarder {
-    settings: ForwardSettings,
-    targets: SlotMap<TargetKey, TargetRecord>,
-    by_id: HashMap<String, TargetKey>,
-    by_service: BTreeMap<String, Vec<TargetKey>>,
-    sends: SlotMap<SendKey, Send>,
-    retries: HashMap<String, RetryWindow>,
-    answer_time: HashMap<String, f64>,
+    pub(super) settings: ForwardSettings,
+    pub(super) targets: SlotMap<TargetKey, TargetRecord>,
+    pub(super) by_id: HashMap<String, TargetKey>,
+    pub(super) by_service: BTreeMap<String, Vec<TargetKey>>,
+    pub(super) sends: SlotMap<SendKey, Send>,
+    pub(super) retries: HashMap<String, RetryWindow>,
+    pub(super) answer_time: HashMap<String, f64>,
     /// Time to the first output of an engine, by route.
-    first_time: HashMap<String, f64>,
-    read_rate: f64,
-    members: usize,
-    random: SmallRng,
-    chart: Chart<TargetPhase, TargetEvent>,
+    pub(super) first_time: HashMap<String, f64>,
+    pub(super) read_rate: f64,
+    pub(super) members: usize,
+    pub(super) random: SmallRng,
+    pub(super) chart: Chart<TargetPhase, TargetEvent>,
 }
 
 impl Forwarder {
@@ -253,145 +173,6 @@
         self.targets.get(key)
     }
 
-    // ------------------------------------------------------------------------
-    // Choice
-
-    /// The target for a call.
-    pub fn choose(&mut self, now: Time, need: &Need) -> Choose {
-        let Some(keys) = self.by_service.get(&need.service).cloned() else {
-            return Choose::Busy(BUSY_WAIT);
-        };
-        let mut usable: Vec<TargetKey> = Vec::with_capacity(keys.len());
-        for key in &keys {
-            if let Some(record) = self.targets.get_mut(*key)
-                && need.placing.is_none_or(|shard| shard.holds(&record.entry.id))
-                && record.usable(now, &self.chart)
-            {
-                usable.push(*key);
-            }
-        }
-        if usable.iter().any(|key| !need.avoid.contains(key)) {
-            usable.retain(|key| !need.avoid.contains(key));
-        }
-        if usable.is_empty() {
-            return Choose::Busy(BUSY_WAIT);
-        }
-        let chosen = match need.engine_memory {
-            Some(memory) => self.choose_engine(now, need, memory, &usable),
-            None => self.choose_plain(now, need, &usable),
-        };
-        let Some(record) = self.targets.get(chosen) else {
-            return Choose::Busy(BUSY_WAIT);
-        };
-        Choose::Send(Chosen {
-            target: chosen,
-            id: record.entry.id.clone(),
-            address: record.entry.address.clone(),
-        })
-    }
-
-    /// The zone of the target that a call would go to now.
-    pub fn likely_zone(&mut self, now: Time, need: &Need) -> Option<String> {
-        match self.choose(now, need) {
-            Choose::Send(chosen) => Some(self.targets.get(chosen.target)?.entry.zone.clone()),
-            Choose::Busy(_) => None,
-        }
-    }
-
-    /// The zone in which a call should be answered.
-    fn zone<'a>(&'a self, need: &'a Need) -> &'a str {
-        if need.zone.is_empty() {
-            &self.settings.zone
-        } else {
-            &need.zone
-        }
-    }
-
-    fn choose_plain(&mut self, now: Time, need: &Need, usable: &[TargetKey]) -> TargetKey {
-        let zone = self.zone(need).to_owned();
-        let failing = |key: &TargetKey| self.targets[*key].failing_now(now);
-        let least_failing = usable.iter().map(failing).fold(1.0, f64::min);
-        let score = |key: &TargetKey| {
-            let record = &self.targets[*key];
-            let slots = f64::from(record.entry.slots.max(1));
-            let load = f64::from(record.in_flight) * self.members as f64 / slots;
-            let far = if record.entry.zone == zone { 0.0 } else { FAR_SHARE };
-            let failing = FAILING_TIMES * (record.failing_now(now) - least_failing);
-            let score = record.slowness_now(now) * (1.0 + load) + far + failing;
-            // Small differences say nothing; without this an old failure would count for ever.
-            (score / SCORE_STEP).floor()
-        };
-        let scores: Vec<f64> = usable.iter().map(score).collect();
-        self.least(usable, &scores)
-    }
-
-    fn choose_engine(&mut self, now: Time, need: &Need, memory: u64, usable: &[TargetKey]) -> TargetKey {
-        let zone = self.zone(need).to_owned();
-        let home = self.prefix_home(need.prefix, usable);
-        let own = own_tokens(need);
-        let crossing = FAR_TOKENS + FAR_TOKENS_PER_MB * need.input_bytes as f64 / 1e6;
-        let score = |key: &TargetKey| {
-            let record = &self.targets[*key];
-            let far = if record.entry.zone == zone { 0.0 } else { crossing };
-            let prefix = self.unread_prefix(now, need, memory, *key, home);
-            let unread = own + prefix * REREAD_WEIGHT;
-            let running = RUNNING_TOKENS * f64::from(record.in_flight);
-            let failing = FAILING_TOKENS * record.failing_now(now);
-            (record.unread_tokens + unread + running) * record.slowness_now(now) + far + failing
-        };
-        let scores: Vec<f64> = usable.iter().map(score).collect();
-        self.least(usable, &scores)
-    }
-
-    /// The tokens of a call's shared prefix that a target would have to read, as far as is known.
-    fn unread_prefix(
-        &self,
-        now: Time,
-        need: &Need,
-        memory: u64,
-        key: TargetKey,
-        home: Option<TargetKey>,
-    ) -> f64 {
-        let held = if need.prefix == 0 {
-            0.0
-        } else if self.targets[key].prefixes.holds(now, need.prefix, memory) {
-            1.0
-        } else if Some(key) == home {
-            // Whoever places the calls of all nodes knows better what the home was sent, but not what an
-            // owner before it did.
-            if need.placing.is_some() { HOME_TRUST } else { 1.0 }
-        } else {
-            0.0
-        };
-        f64::from(need.prefix_tokens) * (1.0 - held)
-    }
-
-    /// The target at which all nodes let calls with the same prefix meet. Zones do not matter: reading a long
-    /// prefix in each zone costs more than inputs that cross them.
-    fn prefix_home(&self, prefix: u64, usable: &[TargetKey]) -> Option<TargetKey> {
-        if prefix == 0 {
-            return None;
-        }
-        let place = |key: &&TargetKey| {
-            let member = rendezvous::text_key(&self.targets[**key].entry.id) as u64;
-            rendezvous::place(u128::from(prefix), member)
-        };
-        usable.iter().min_by_key(place).copied()
-    }
-
-    /// The key with the least score; among equals a random one.
-    fn least(&mut self, keys: &[TargetKey], scores: &[f64]) -> TargetKey {
-        let start = self.random.random_range(0..keys.len());
-        let mut best = start;
-        for step in 0..keys.len() {
-            let place = (start + step) % keys.len();
-            if scores[place] < scores[best] {
-                best = place;
-            }
-        }
-        keys[best]
-    }
-
     // ------------------------------------------------------------------------
     // Sends
 
@@ -577,8 +358,3 @@
         )
     }
 }
-
-/// The tokens of a call's prompt that no other call shares.
-fn own_tokens(need: &Need) -> f64 {
-    f64::from(need.prompt_tokens.saturating_sub(need.prefix_tokens))
-}
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/kept_results.rs
@@ -0,0 +1,102 @@
+//! The results that a pool's targets keep, until somebody gives them up.
+
+use super::PieceQueue;
+use super::pool_wait::RATE_SPAN;
+use crate::Time;
+use std::collections::BTreeMap;
+
+/// A result at its maker.
+#[derive(Clone, Debug)]
+pub(super) struct Kept {
+    pub(super) runner: String,
+    pub(super) bytes: u64,
+    pub(super) until: Time,
+}
+
+impl PieceQueue {
+    pub(super) fn keep(&mut self, now: Time, runner: &str, handle: &str, bytes: u64) {
+        let until = now + self.spec.hold;
+        if let Some(runner) = self.runners.get_mut(runner) {
+            runner.kept += bytes;
+        }
+        let kept = Kept {
+            runner: runner.to_owned(),
+            bytes,
+            until,
+        };
+        self.kept.insert(handle.to_owned(), kept);
+    }
+
+    /// Results that nobody needs any more.
+    pub fn give_up(&mut self, handles: Vec<String>) {
+        self.unneeded.extend(handles);
+    }
+
+    /// The results to be freed: address and id of their maker, and their handles.
+    pub fn take_unneeded(&mut self) -> Vec<(String, String, Vec<String>)> {
+        let mut by_maker: BTreeMap<String, (String, Vec<String>)> = BTreeMap::new();
+        for handle in std::mem::take(&mut self.unneeded) {
+            let maker = match self.kept.get(&handle) {
+                Some(kept) => Some(kept.runner.clone()),
+                // Made for another owner of the pool; the handle tells by whom.
+                None => self.maker_of(&handle),
+            };
+            let Some(id) = maker else { continue };
+            let Some(runner) = self.runners.get(&id) else {
+                continue;
+            };
+            let address = runner.entry.address.clone();
+            let maker = by_maker.entry(id).or_insert((address, Vec::new()));
+            maker.1.push(handle);
+        }
+        by_maker
+            .into_iter()
+            .map(|(target, (address, handles))| (address, target, handles))
+            .collect()
+    }
+
+    /// Their maker has freed them: only now is there room.
+    pub fn freed(&mut self, handles: &[String]) {
+        for handle in handles {
+            let Some(kept) = self.kept.remove(handle) else {
+                continue;
+            };
+            if let Some(runner) = self.runners.get_mut(&kept.runner) {
+                runner.kept = runner.kept.saturating_sub(kept.bytes);
+            }
+        }
+    }
+
+    fn maker_of(&self, handle: &str) -> Option<String> {
+        let address = handle_address(handle);
+        let maker = self
+            .runners
+            .iter()
+            .find(|(_, runner)| runner.entry.address == address);
+        maker.map(|(id, _)| id.clone())
+    }
+
+    /// Whether results wait to be freed.
+    pub fn has_unneeded(&self) -> bool {
+        !self.unneeded.is_empty()
+    }
+
+    pub(super) fn expire_kept(&mut self, now: Time) {
+        while self.made.front().is_some_and(|at| now.since(*at) > RATE_SPAN) {
+            self.made.pop_front();
+        }
+        let runners = &mut self.runners;
+        self.kept.retain(|_, kept| {
+            let expired = now > kept.until;
+            if expired && let Some(runner) = runners.get_mut(&kept.runner) {
+                runner.kept = runner.kept.saturating_sub(kept.bytes);
+            }
+            !expired
+        });
+    }
+}
+
+/// The address of the target that made a result: a handle names it before its first slash.
+pub fn handle_address(handle: &str) -> &str {
+    handle.split('/').next().unwrap_or_default()
+}
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -8,10 +8,16 @@
 
 mod call_head;
 mod catalog;
+mod choice;
 mod feed_cursor;
 mod forwarder;
+mod kept_results;
+mod need;
+mod piece_order;
 mod piece_queue;
+mod piece_runner;
 mod plan;
+mod pool_wait;
 mod prefix_memory;
 mod retry_window;
 mod send_end;
@@ -26,11 +32,14 @@
     Route, RouteKind, Share, StageSpec,
 };
 pub use feed_cursor::{FeedCursor, FeedStep};
-pub use forwarder::{Choose, Chosen, ForwardSettings, Forwarder, Need, SendKey, Shard};
-pub use piece_queue::{
-    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PieceQueue,
-    PieceRunner, handle_address,
+pub use forwarder::{ForwardSettings, Forwarder, SendKey};
+pub use kept_results::handle_address;
+pub use need::{Choose, Chosen, Need, Shard};
+pub use piece_order::{
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome,
 };
+pub use piece_queue::PieceQueue;
+pub use piece_runner::PieceRunner;
 pub use plan::{ForwardPlan, MemberView};
 pub use prefix_memory::PrefixMemory;
 pub use retry_window::RetryWindow;
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/need.rs
@@ -0,0 +1,66 @@
+//! What a call needs of its target, and the answer to that.
+
+use super::TargetKey;
+use crate::{Span, rendezvous};
+
+/// What a call needs of its target.
+#[derive(Clone, Debug, Default)]
+pub struct Need {
+    /// The service.
+    pub service: String,
+    /// The route, whose calls resemble each other.
+    pub route: String,
+    /// Whether model engines serve it, and how many tokens one of them holds.
+    pub engine_memory: Option<u64>,
+    /// The shared beginning of its prompt; zero for none.
+    pub prefix: u64,
+    /// Tokens of that beginning.
+    pub prefix_tokens: u32,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// Where its inputs lie; empty for this node's own zone.
+    pub zone: String,
+    /// The size of its inputs, in bytes.
+    pub input_bytes: u64,
+    /// Targets that failed it already.
+    pub avoid: Vec<TargetKey>,
+    /// Set when this node places the calls of all nodes at the engines of a shard.
+    pub placing: Option<Shard>,
+}
+
+/// A part of the targets of a service: each belongs to one of `of` shards.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shard {
+    /// Which one, from 0.
+    pub number: u32,
+    /// How many there are.
+    pub of: u32,
+}
+
+impl Shard {
+    /// Whether a target belongs to it.
+    pub fn holds(self, target: &str) -> bool {
+        let picked = rendezvous::pick(rendezvous::text_key(target), (0..self.of).map(u64::from));
+        picked == Some(u64::from(self.number))
+    }
+}
+
+/// The target of a send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// The target.
+    pub target: TargetKey,
+    /// The run of it that is meant.
+    pub id: String,
+    /// IP number and port.
+    pub address: String,
+}
+
+/// An answer of [`crate::Forwarder::choose`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choose {
+    /// Send it there.
+    Send(Chosen),
+    /// No target is usable now; when to come back.
+    Busy(Span),
+}
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/piece_order.rs
@@ -0,0 +1,102 @@
+//! Orders for pieces, calls with pieces of several orders, and what becomes of both.
+
+use crate::{Span, Time};
+use serde::{Deserialize, Serialize};
+
+slotmap::new_key_type! {
+    /// An order that is waiting or at work.
+    pub struct OrderKey;
+    /// A call to a target.
+    pub struct CallKey;
+}
+
+/// Pieces of one stage of one request, to be made.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceOrder {
+    /// The request's id.
+    pub request: String,
+    /// The stage's place in the route.
+    pub stage: u32,
+    /// How many pieces; they are counted from 0.
+    pub pieces: u32,
+    /// What pieces without inputs work on; empty otherwise.
+    pub key: String,
+    /// The results that each piece needs.
+    pub inputs: Vec<String>,
+    /// When the request is given up.
+    pub deadline: Time,
+    /// When the stage should be done for the request to be in time.
+    pub due: Time,
+    /// The request's priority; 0 is the most important.
+    pub rank: u8,
+    /// The approximate size of one result, in bytes.
+    pub bytes: u64,
+    /// The zone where the results will be read; empty when it does not matter.
+    pub zone: String,
+}
+
+/// What became of one piece of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PieceOutcome {
+    /// It was made.
+    Made(String),
+    /// Its time was over when its turn came.
+    Late,
+    /// One of its inputs is gone.
+    InputsGone,
+    /// The target has no room for the result.
+    NoRoom,
+    /// It failed otherwise.
+    Failed,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// Answered, with one outcome for each of its items.
+    Done(Vec<PieceOutcome>),
+    /// The target said that it did not run it.
+    Refused {
+        /// Whether its address belongs to another target now.
+        misdirected: bool,
+    },
+    /// Nothing of it was written.
+    Unreachable,
+    /// Something was written, and no whole answer came back.
+    BrokenOff,
+}
+
+/// How an order ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderEnd {
+    /// Every piece was made; the handles in order.
+    Made(Vec<String>),
+    /// Inputs are gone.
+    InputsGone,
+    /// It cannot be made in time; when to come back.
+    TooLate(Span),
+    /// Pieces failed too often.
+    Failed,
+}
+
+/// One piece of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PieceItem {
+    /// The order it belongs to.
+    pub order: OrderKey,
+    /// Which piece of it.
+    pub piece: u32,
+}
+
+/// A call that is to be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PieceCall {
+    /// The call.
+    pub call: CallKey,
+    /// The run of the target that is meant.
+    pub id: String,
+    /// Its address.
+    pub address: String,
+    /// The pieces.
+    pub items: Vec<PieceItem>,
+}
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -5,50 +5,22 @@
 //! the others hand it their orders. Two owners at once, after a cut or a death, cost time and never
 //! correctness: a piece may be made anew.
 
-use super::{PoolSpec, TargetEntry, TargetTable};
+use super::kept_results::Kept;
+use super::piece_runner::TOO_SLOW;
+use super::{
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PieceRunner,
+    PoolSpec, TargetEntry, TargetTable,
+};
 use crate::{Span, Time};
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-slotmap::new_key_type! {
-    /// An order that is waiting or at work.
-    pub struct OrderKey;
-    /// A call to a target.
-    pub struct CallKey;
-}
-
 /// A call is overdue after this many times its expected time.
 const PATIENCE: f64 = 2.0;
 /// And never before this much beyond it.
 const PATIENCE_LEAST: Span = Span::from_millis(60);
 /// A piece that failed this often is given up.
 const MOST_TRIES: u8 = 4;
-/// How much a new measurement moves an average.
-const GAIN: f64 = 0.3;
-/// A runner this much slower than the pool is used only while others are all busy and much waits.
-const TOO_SLOW: f64 = 1.8;
-/// How long a runner that failed gets nothing, the first time.
-const OUT_FIRST: Span = Span::from_millis(300);
-/// And at the most.
-const OUT_LONGEST: Span = Span::from_secs(4);
-/// How long a runner that said it is full gets nothing, the first time.
-const FULL_FIRST: Span = Span::from_millis(25);
-/// And at the most.
-const FULL_LONGEST: Span = Span::from_millis(400);
-/// How long a runner without room is reckoned to have none: results of which this node does not know, since
-/// another node owned the pool before, are freed or expire meanwhile.
-const NO_ROOM: Span = Span::from_millis(250);
-/// What a runner's room is multiplied with when it had none: sizes of results are approximate.
-const ROOM_SHRINK: f64 = 0.9;
-/// What it is multiplied with after a call.
-const ROOM_GROW: f64 = 1.01;
-/// The least part of its room that is reckoned with.
-const LEAST_ROOM: f64 = 0.5;
-/// The part of a runner's room that is still tried after it said that it has none.
-const NO_ROOM_SHARE: u64 = 16;
-/// The span over which the rate of made pieces is measured.
-const RATE_SPAN: Span = Span::from_millis(1000);
 /// A slow runner is tried again after this time.
 const SLOW_TRIAL: Span = Span::from_millis(1500);
 /// Pieces of priority r are taken as if they were due this much later, times r.
@@ -58,117 +30,6 @@
 /// Work in progress is spread over idle runners down to this share of a full call.
 const LEAST_SHARE: f64 = 0.25;
 
-/// Pieces of one stage of one request, to be made.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PieceOrder {
-    /// The request's id.
-    pub request: String,
-    /// The stage's place in the route.
-    pub stage: u32,
-    /// How many pieces; they are counted from 0.
-    pub pieces: u32,
-    /// What pieces without inputs work on; empty otherwise.
-    pub key: String,
-    /// The results that each piece needs.
-    pub inputs: Vec<String>,
-    /// When the request is given up.
-    pub deadline: Time,
-    /// When the stage should be done for the request to be in time.
-    pub due: Time,
-    /// The request's priority; 0 is the most important.
-    pub rank: u8,
-    /// The approximate size of one result, in bytes.
-    pub bytes: u64,
-    /// The zone where the results will be read; empty when it does not matter.
-    pub zone: String,
-}
-
-/// What became of one piece of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PieceOutcome {
-    /// It was made.
-    Made(String),
-    /// Its time was over when its turn came.
-    Late,
-    /// One of its inputs is gone.
-    InputsGone,
-    /// The target has no room for the result.
-    NoRoom,
-    /// It failed otherwise.
-    Failed,
-}
-
-/// What became of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CallOutcome {
-    /// Answered, with one outcome for each of its items.
-    Done(Vec<PieceOutcome>),
-    /// The target said that it did not run it.
-    Refused {
-        /// Whether its address belongs to another target now.
-        misdirected: bool,
-    },
-    /// Nothing of it was written.
-    Unreachable,
-    /// Something was written, and no whole answer came back.
-    BrokenOff,
-}
-
-/// How an order ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderEnd {
-    /// Every piece was made; the handles in order.
-    Made(Vec<String>),
-    /// Inputs are gone.
-    InputsGone,
-    /// It cannot be made in time; when to come back.
-    TooLate(Span),
-    /// Pieces failed too often.
-    Failed,
-}
-
-/// One piece of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PieceItem {
-    /// The order it belongs to.
-    pub order: OrderKey,
-    /// Which piece of it.
-    pub piece: u32,
-}
-
-/// A call that is to be made.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PieceCall {
-    /// The call.
-    pub call: CallKey,
-    /// The run of the target that is meant.
-    pub id: String,
-    /// Its address.
-    pub address: String,
-    /// The pieces.
-    pub items: Vec<PieceItem>,
-}
-
-/// A target of the pool as its owner sees it.
-#[derive(Clone, Debug, Default)]
-pub struct PieceRunner {
-    /// What the list says.
-    pub entry: TargetEntry,
-    /// Calls that it is working on for this node.
-    pub calls: u32,
-    /// Time of its calls over what was expected.
-    pub slowness: f64,
-    /// Bytes of results that it keeps.
-    pub kept: u64,
-    out_until: Time,
-    out_for: Span,
-    full_for: Span,
-    /// The part of its room that it is reckoned to have; it shrinks when it had none, and recovers.
-    room_share: f64,
-    no_room_until: Time,
-    measured: Time,
-}
-
 #[derive(Clone, Debug)]
 enum Piece {
     Waiting,
@@ -177,7 +38,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct Order {
+pub(super) struct Order {
     order: PieceOrder,
     came: Time,
     pieces: Vec<Piece>,
@@ -187,7 +48,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct Call {
+pub(super) struct Call {
     runner: String,
     items: Vec<PieceItem>,
     started: Time,
@@ -196,27 +57,20 @@
     overdue: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Kept {
-    runner: String,
-    bytes: u64,
-    until: Time,
-}
-
 /// The pieces that wait for one pool, and the calls at its targets.
 #[derive(Clone, Debug, Default)]
 pub struct PieceQueue {
-    spec: PoolSpec,
-    orders: SlotMap<OrderKey, Order>,
-    calls: SlotMap<CallKey, Call>,
-    runners: BTreeMap<String, PieceRunner>,
-    kept: HashMap<String, Kept>,
-    ended: Vec<(OrderKey, OrderEnd)>,
+    pub(super) spec: PoolSpec,
+    pub(super) orders: SlotMap<OrderKey, Order>,
+    pub(super) calls: SlotMap<CallKey, Call>,
+    pub(super) runners: BTreeMap<String, PieceRunner>,
+    pub(super) kept: HashMap<String, Kept>,
+    pub(super) ended: Vec<(OrderKey, OrderEnd)>,
     /// When pieces were made lately.
-    made: VecDeque<Time>,
-    unneeded: Vec<String>,
+    pub(super) made: VecDeque<Time>,
+    pub(super) unneeded: Vec<String>,
     /// Time of calls over what the specification says, over all runners.
-    pace: f64,
+    pub(super) pace: f64,
 }
 
 impl PieceQueue {
@@ -235,14 +89,8 @@
         self.runners
             .retain(|id, runner| table.contains_key(id) || runner.calls > 0);
         for (id, entry) in table.iter().filter(|(_, entry)| mine(entry)) {
-            let runner = self.runners.entry(id.clone()).or_insert_with(|| PieceRunner {
-                slowness: 1.0,
-                out_for: OUT_FIRST,
-                full_for: FULL_FIRST,
-                room_share: 1.0,
-                ..PieceRunner::default()
-            });
-            runner.entry = entry.clone();
+            let new = || PieceRunner::new(entry.clone());
+            self.runners.entry(id.clone()).or_insert_with(new).entry = entry.clone();
         }
         for (id, runner) in &mut self.runners {
             if !table.contains_key(id) {
@@ -305,49 +153,6 @@
         self.orders.get(key).map(|order| &order.order)
     }
 
-    /// How long `more` pieces that came now would take to be made, waiting included.
-    pub fn expected_wait(&self, now: Time, more: u64) -> Span {
-        let usable = self
-            .runners
-            .values()
-            .filter(|runner| !runner.entry.leaving && now >= runner.out_until)
-            .count();
-        if usable == 0 {
-            // A pool without targets may get some; until then a call's time is the best guess.
-            return self.call_time(self.spec.batch) + self.call_time(self.spec.batch);
-        }
-        let ahead = u64::from(self.waiting()) + more;
-        let full_calls = ahead as f64 / f64::from(self.spec.batch.max(1));
-        let rounds = full_calls / usable as f64;
-        let busy = self
-            .calls
-            .values()
-            .map(|call| call.expected.0.saturating_sub(now.since(call.started).0))
-            .sum::<u64>()
-            / usable as u64;
-        let last = more.min(u64::from(self.spec.batch)) as u32;
-        let queue = self.call_time(self.spec.batch).scale((rounds - 1.0).max(0.0));
-        let queue = queue.max(self.measured_wait(now));
-        Span(busy) + queue + self.call_time(last)
-    }
-
-    /// How long what waits now takes at the rate at which pieces were made lately. It counts only when more
-    /// waits than a few calls hold: an idle pool makes few pieces because few come.
-    fn measured_wait(&self, now: Time) -> Span {
-        let waiting = self.waiting();
-        if waiting <= self.spec.batch {
-            return Span::ZERO;
-        }
-        let made = self.made.iter().filter(|at| now.since(**at) <= RATE_SPAN).count();
-        let rate = made.max(1) as f64 / RATE_SPAN.as_secs();
-        Span((f64::from(waiting) / rate * 1e6) as u64)
-    }
-
-    /// The expected time of a call with `pieces` pieces.
-    pub fn call_time(&self, pieces: u32) -> Span {
-        (self.spec.call + Span(self.spec.item.0 * u64::from(pieces))).scale(self.pace)
-    }
-
     // ------------------------------------------------------------------------
     // Calls
 
@@ -384,12 +189,12 @@
         let idle: Vec<(&String, &PieceRunner)> = self
             .runners
             .iter()
-            .filter(|(_, runner)| !runner.entry.leaving && now >= runner.out_until && runner.calls < slots)
+            .filter(|(_, runner)| runner.usable(now) && runner.calls < slots)
             .collect();
         let fastest = self
             .runners
             .values()
-            .filter(|runner| !runner.entry.leaving && now >= runner.out_until)
+            .filter(|runner| runner.usable(now))
             .map(|runner| runner.slowness)
             .fold(f64::MAX, f64::min);
         let fit = |runner: &PieceRunner| {
@@ -429,7 +234,8 @@
             .runners
             .get(runner)
             .map_or(String::new(), |runner| runner.entry.zone.clone());
-        let mut room = self.room(now, runner);
+        let room = |runner: &PieceRunner| runner.free_room(now, self.spec.room);
+        let mut room = self.runners.get(runner).map_or(0, room);
         let mut waiting: Vec<OrderKey> = self
             .orders
             .iter()
@@ -470,20 +276,6 @@
         items
     }
 
-    /// What a runner still has room for. Small results, of which many calls fit in, are always tried.
-    fn room(&self, now: Time, id: &str) -> u64 {
-        let Some(runner) = self.runners.get(id) else {
-            return 0;
-        };
-        let room = (self.spec.room as f64 * runner.room_share) as u64;
-        let free = room.saturating_sub(runner.kept);
-        if now < runner.no_room_until {
-            free.min(self.spec.room / NO_ROOM_SHARE)
-        } else {
-            free
-        }
-    }
-
     fn start_call(&mut self, now: Time, runner: String, items: Vec<PieceItem>) -> PieceCall {
         let slowness = self.runners.get(&runner).map_or(1.0, |runner| runner.slowness);
         let expected = self.call_time(items.len() as u32).scale(slowness);
@@ -525,29 +317,31 @@
         match outcome {
             CallOutcome::Done(outcomes) => self.call_done(now, &call, outcomes),
             CallOutcome::Refused { misdirected: false } => {
-                self.runner_full(now, &call.runner);
+                self.on_runner(&call.runner, |runner| runner.was_full(now));
                 self.requeue(&call, false);
             }
             CallOutcome::Refused { misdirected: true } | CallOutcome::Unreachable => {
-                self.runner_failed(now, &call.runner);
+                self.on_runner(&call.runner, |runner| runner.failed(now));
                 self.requeue(&call, false);
             }
             CallOutcome::BrokenOff => {
-                self.runner_failed(now, &call.runner);
+                self.on_runner(&call.runner, |runner| runner.failed(now));
                 self.requeue(&call, true);
             }
         }
     }
 
+    fn on_runner(&mut self, id: &str, change: impl FnOnce(&mut PieceRunner)) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            change(runner);
+        }
+    }
+
     fn call_done(&mut self, now: Time, call: &Call, outcomes: Vec<PieceOutcome>) {
         let base = self.call_time(call.items.len() as u32).0.max(1) as f64;
         let relative = now.since(call.started).0 as f64 / base;
         if let Some(runner) = self.runners.get_mut(&call.runner) {
-            runner.slowness += GAIN * (relative - runner.slowness);
-            runner.measured = now;
-            runner.out_for = OUT_FIRST;
-            runner.full_for = FULL_FIRST;
-            runner.room_share = (runner.room_share * ROOM_GROW).min(1.0);
+            runner.answered(now, relative);
         }
         // The whole pool's pace moves slowly and little: one slow runner must not look normal.
         self.pace = (self.pace * (1.0 + 0.02 * (relative.min(1.5) - 1.0))).clamp(0.3, 3.0);
@@ -576,10 +370,7 @@
             PieceOutcome::NoRoom => {
                 // That is no fault of the piece: it waits for room elsewhere.
                 if let Some(runner) = self.runners.get_mut(&call.runner) {
-                    if now >= runner.no_room_until {
-                        runner.room_share = (runner.room_share * ROOM_SHRINK).max(LEAST_ROOM);
-                    }
-                    runner.no_room_until = now + NO_ROOM;
+                    runner.had_no_room(now);
                 }
                 self.requeue_item(item, false);
             }
@@ -665,7 +456,7 @@
             };
             let copy = call.clone();
             call.overdue = true;
-            self.runner_overdue(now, &copy.runner);
+            self.on_runner(&copy.runner, |runner| runner.overdue(now));
             for item in &copy.items {
                 self.requeue_item(item, true);
             }
@@ -705,125 +496,12 @@
         }
     }
 
-    // ------------------------------------------------------------------------
-    // Runners
-
-    fn runner_full(&mut self, now: Time, id: &str) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            runner.out_until = runner.out_until.max(now + runner.full_for);
-            runner.full_for = FULL_LONGEST.min(runner.full_for + runner.full_for);
-        }
-    }
-
-    fn runner_failed(&mut self, now: Time, id: &str) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            runner.out_until = now + runner.out_for;
-            runner.out_for = OUT_LONGEST.min(runner.out_for + runner.out_for);
-        }
-    }
-
-    fn runner_overdue(&mut self, now: Time, id: &str) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            runner.slowness = runner.slowness.max(TOO_SLOW + 1.0);
-            runner.measured = now;
-        }
-    }
-
-    // ------------------------------------------------------------------------
-    // Results
-
-    fn keep(&mut self, now: Time, runner: &str, handle: &str, bytes: u64) {
-        let until = now + self.spec.hold;
-        if let Some(runner) = self.runners.get_mut(runner) {
-            runner.kept += bytes;
-        }
-        let kept = Kept {
-            runner: runner.to_owned(),
-            bytes,
-            until,
-        };
-        self.kept.insert(handle.to_owned(), kept);
-    }
-
-    /// Results that nobody needs any more.
-    pub fn give_up(&mut self, handles: Vec<String>) {
-        self.unneeded.extend(handles);
-    }
-
-    /// The results to be freed: address and id of their maker, and their handles.
-    pub fn take_unneeded(&mut self) -> Vec<(String, String, Vec<String>)> {
-        let mut by_maker: BTreeMap<String, (String, Vec<String>)> = BTreeMap::new();
-        for handle in std::mem::take(&mut self.unneeded) {
-            let maker = match self.kept.get(&handle) {
-                Some(kept) => Some(kept.runner.clone()),
-                // Made for another owner of the pool; the handle tells by whom.
-                None => self.maker_of(&handle),
-            };
-            let Some(id) = maker else { continue };
-            let Some(runner) = self.runners.get(&id) else {
-                continue;
-            };
-            let address = runner.entry.address.clone();
-            let maker = by_maker.entry(id).or_insert((address, Vec::new()));
-            maker.1.push(handle);
-        }
-        by_maker
-            .into_iter()
-            .map(|(target, (address, handles))| (address, target, handles))
-            .collect()
-    }
-
-    /// Their maker has freed them: only now is there room.
-    pub fn freed(&mut self, handles: &[String]) {
-        for handle in handles {
-            let Some(kept) = self.kept.remove(handle) else {
-                continue;
-            };
-            if let Some(runner) = self.runners.get_mut(&kept.runner) {
-                runner.kept = runner.kept.saturating_sub(kept.bytes);
-            }
-        }
-    }
-
-    fn maker_of(&self, handle: &str) -> Option<String> {
-        let address = handle_address(handle);
-        let maker = self
-            .runners
-            .iter()
-            .find(|(_, runner)| runner.entry.address == address);
-        maker.map(|(id, _)| id.clone())
-    }
-
-    /// Whether results wait to be freed.
-    pub fn has_unneeded(&self) -> bool {
-        !self.unneeded.is_empty()
-    }
-
-    fn expire_kept(&mut self, now: Time) {
-        while self.made.front().is_some_and(|at| now.since(*at) > RATE_SPAN) {
-            self.made.pop_front();
-        }
-        let runners = &mut self.runners;
-        self.kept.retain(|_, kept| {
-            let expired = now > kept.until;
-            if expired && let Some(runner) = runners.get_mut(&kept.runner) {
-                runner.kept = runner.kept.saturating_sub(kept.bytes);
-            }
-            !expired
-        });
-    }
-
     /// Orders that have ended since the last time.
     pub fn take_ended(&mut self) -> Vec<(OrderKey, OrderEnd)> {
         std::mem::take(&mut self.ended)
     }
 }
 
-/// The address of the target that made a result: a handle names it before its first slash.
-pub fn handle_address(handle: &str) -> &str {
-    handle.split('/').next().unwrap_or_default()
-}
-
 fn overdue_at(call: &Call) -> Time {
     call.started + call.expected.scale(PATIENCE).max(call.expected + PATIENCE_LEAST)
 }
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/piece_runner.rs
@@ -0,0 +1,116 @@
+//! What the owner of a pool has seen of one of its targets.
+
+use super::TargetEntry;
+use crate::{Span, Time};
+
+/// How long a runner that failed gets nothing, the first time.
+const OUT_FIRST: Span = Span::from_millis(300);
+/// And at the most.
+const OUT_LONGEST: Span = Span::from_secs(4);
+/// How long a runner that said it is full gets nothing, the first time.
+const FULL_FIRST: Span = Span::from_millis(25);
+/// And at the most.
+const FULL_LONGEST: Span = Span::from_millis(400);
+/// How long a runner without room is reckoned to have none: results of which this node does not know, since
+/// another node owned the pool before, are freed or expire meanwhile.
+const NO_ROOM: Span = Span::from_millis(250);
+/// What a runner's room is multiplied with when it had none: sizes of results are approximate.
+const ROOM_SHRINK: f64 = 0.9;
+/// What it is multiplied with after a call.
+const ROOM_GROW: f64 = 1.01;
+/// The least part of its room that is reckoned with.
+const LEAST_ROOM: f64 = 0.5;
+/// The part of a runner's room that is still tried after it said that it has none.
+const NO_ROOM_SHARE: u64 = 16;
+/// How much a new measurement moves an average.
+const GAIN: f64 = 0.3;
+/// A runner this much slower than the pool is used only while others are all busy and much waits.
+pub(super) const TOO_SLOW: f64 = 1.8;
+
+/// A target of the pool as its owner sees it.
+#[derive(Clone, Debug, Default)]
+pub struct PieceRunner {
+    /// What the list says.
+    pub entry: TargetEntry,
+    /// Calls that it is working on for this node.
+    pub calls: u32,
+    /// Time of its calls over what was expected.
+    pub slowness: f64,
+    /// Bytes of results that it keeps.
+    pub kept: u64,
+    /// When it may get calls again.
+    pub out_until: Time,
+    out_for: Span,
+    full_for: Span,
+    /// The part of its room that it is reckoned to have; it shrinks when it had none, and recovers.
+    room_share: f64,
+    no_room_until: Time,
+    /// When a call of it was last measured.
+    pub measured: Time,
+}
+
+impl PieceRunner {
+    /// A target that has just come onto the list.
+    pub fn new(entry: TargetEntry) -> Self {
+        Self {
+            entry,
+            slowness: 1.0,
+            out_for: OUT_FIRST,
+            full_for: FULL_FIRST,
+            room_share: 1.0,
+            ..Self::default()
+        }
+    }
+
+    /// Whether it may get calls now.
+    pub fn usable(&self, now: Time) -> bool {
+        !self.entry.leaving && now >= self.out_until
+    }
+
+    /// What it still has room for, of `room` bytes. After it said that it has none, small results, of which many
+    /// calls fit in, are still tried.
+    pub fn free_room(&self, now: Time, room: u64) -> u64 {
+        let reckoned = (room as f64 * self.room_share) as u64;
+        let free = reckoned.saturating_sub(self.kept);
+        if now < self.no_room_until {
+            free.min(room / NO_ROOM_SHARE)
+        } else {
+            free
+        }
+    }
+
+    /// A call ended well; `relative` is its time over the expected one.
+    pub fn answered(&mut self, now: Time, relative: f64) {
+        self.slowness += GAIN * (relative - self.slowness);
+        self.measured = now;
+        self.out_for = OUT_FIRST;
+        self.full_for = FULL_FIRST;
+        self.room_share = (self.room_share * ROOM_GROW).min(1.0);
+    }
+
+    /// It had no room for a result.
+    pub fn had_no_room(&mut self, now: Time) {
+        if now >= self.no_room_until {
+            self.room_share = (self.room_share * ROOM_SHRINK).max(LEAST_ROOM);
+        }
+        self.no_room_until = now + NO_ROOM;
+    }
+
+    /// It said that it is full.
+    pub fn was_full(&mut self, now: Time) {
+        self.out_until = self.out_until.max(now + self.full_for);
+        self.full_for = FULL_LONGEST.min(self.full_for + self.full_for);
+    }
+
+    /// A call failed in a way that says something of the target.
+    pub fn failed(&mut self, now: Time) {
+        self.out_until = now + self.out_for;
+        self.out_for = OUT_LONGEST.min(self.out_for + self.out_for);
+    }
+
+    /// A call takes far too long.
+    pub fn overdue(&mut self, now: Time) {
+        self.slowness = self.slowness.max(TOO_SLOW + 1.0);
+        self.measured = now;
+    }
+}
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/pool_wait.rs
@@ -0,0 +1,48 @@
+//! How long pieces wait for a pool.
+
+use super::PieceQueue;
+use crate::{Span, Time};
+
+/// The span over which the rate of made pieces is measured.
+pub(super) const RATE_SPAN: Span = Span::from_millis(1000);
+
+impl PieceQueue {
+    /// How long `more` pieces that came now would take to be made, waiting included.
+    pub fn expected_wait(&self, now: Time, more: u64) -> Span {
+        let usable = self.runners.values().filter(|runner| runner.usable(now)).count();
+        if usable == 0 {
+            // A pool without targets may get some; until then a call's time is the best guess.
+            return self.call_time(self.spec.batch) + self.call_time(self.spec.batch);
+        }
+        let ahead = u64::from(self.waiting()) + more;
+        let full_calls = ahead as f64 / f64::from(self.spec.batch.max(1));
+        let rounds = full_calls / usable as f64;
+        let busy = self
+            .calls
+            .values()
+            .map(|call| call.expected.0.saturating_sub(now.since(call.started).0))
+            .sum::<u64>()
+            / usable as u64;
+        let last = more.min(u64::from(self.spec.batch)) as u32;
+        let queue = self.call_time(self.spec.batch).scale((rounds - 1.0).max(0.0));
+        let queue = queue.max(self.measured_wait(now));
+        Span(busy) + queue + self.call_time(last)
+    }
+
+    /// How long what waits now takes at the rate at which pieces were made lately. It counts only when more
+    /// waits than a few calls hold: an idle pool makes few pieces because few come.
+    fn measured_wait(&self, now: Time) -> Span {
+        let waiting = self.waiting();
+        if waiting <= self.spec.batch {
+            return Span::ZERO;
+        }
+        let made = self.made.iter().filter(|at| now.since(**at) <= RATE_SPAN).count();
+        let rate = made.max(1) as f64 / RATE_SPAN.as_secs();
+        Span((f64::from(waiting) / rate * 1e6) as u64)
+    }
+
+    /// The expected time of a call with `pieces` pieces.
+    pub fn call_time(&self, pieces: u32) -> Span {
+        (self.spec.call + Span(self.spec.item.0 * u64::from(pieces))).scale(self.pace)
+    }
+}
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -6,6 +6,7 @@
 
 mod member;
 mod message;
+mod probes;
 mod table;
 
 pub use member::{Member, MemberFacts, MemberHealth};
--- /dev/null
+++ b/crates/barleyspool_core/src/membership/probes.rs
@@ -0,0 +1,161 @@
+//! Probing other nodes, suspecting those that do not answer, and looking for those that are gone.
+
+use super::table::{Membership, Probe};
+use super::{MemberHealth, MemberQuestion};
+use crate::{Span, Time};
+use rand::seq::{IteratorRandom, SliceRandom};
+
+/// How long a starting node, or one that knows nobody, waits between questions to a seed.
+const JOIN_EVERY: Span = Span::from_millis(200);
+/// Dead nodes and seeds are still asked now and then, so that two sides of a cut find each other again.
+const REVIVE_EVERY: Span = Span::from_secs(1);
+
+impl Membership {
+    pub(super) fn round(&mut self, now: Time) {
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + self.settings.round;
+        if let Some(target) = self.next_target() {
+            self.probe(now, target, None);
+        }
+    }
+
+    /// The next node in turn; each is probed once before any is probed again.
+    fn next_target(&mut self) -> Option<String> {
+        for _ in 0..=self.members.len() {
+            let Some(address) = self.turn.pop_front() else {
+                let mut all: Vec<String> = self.reachable().collect();
+                all.shuffle(&mut self.random);
+                self.turn.extend(all);
+                if self.turn.is_empty() {
+                    return None;
+                }
+                continue;
+            };
+            let member = self.members.get(&address);
+            if member.is_some_and(|member| member.health != MemberHealth::Dead) {
+                return Some(address);
+            }
+        }
+        None
+    }
+
+    pub(super) fn probe(&mut self, now: Time, target: String, asked_by: Option<(String, u64)>) {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.probes.insert(
+            number,
+            Probe {
+                target: target.clone(),
+                sent: now,
+                helped: false,
+                asked_by,
+            },
+        );
+        self.send(target, MemberQuestion::Probe { number });
+    }
+
+    pub(super) fn check_probes(&mut self, now: Time) {
+        let late: Vec<u64> = self
+            .probes
+            .iter()
+            .filter(|(_, probe)| now.since(probe.sent) >= self.settings.answer)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in late {
+            self.probe_late(now, number);
+        }
+    }
+
+    fn probe_late(&mut self, now: Time, number: u64) {
+        let Some(mut probe) = self.probes.remove(&number) else {
+            return;
+        };
+        if probe.asked_by.is_some() {
+            return;
+        }
+        if probe.helped {
+            let alive = self
+                .members
+                .get(&probe.target)
+                .is_some_and(|member| member.health == MemberHealth::Alive);
+            if alive {
+                self.set_health(now, &probe.target, MemberHealth::Suspect);
+            }
+            return;
+        }
+        let others: Vec<String> = self
+            .reachable()
+            .filter(|address| *address != probe.target)
+            .collect();
+        let helpers = others
+            .into_iter()
+            .choose_multiple(&mut self.random, self.settings.helpers);
+        for helper in helpers {
+            let target = probe.target.clone();
+            self.send(helper, MemberQuestion::ProbeFor { number, target });
+        }
+        // One more try of its own too: datagrams are lost now and then.
+        self.send(probe.target.clone(), MemberQuestion::Probe { number });
+        probe.helped = true;
+        probe.sent = now;
+        self.probes.insert(number, probe);
+    }
+
+    pub(super) fn check_suspects(&mut self, now: Time) {
+        let refute = self.settings.refute;
+        let overdue: Vec<String> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.health == MemberHealth::Suspect && now.since(member.since) > refute)
+            .map(|(address, _)| address.clone())
+            .collect();
+        for address in overdue {
+            self.set_health(now, &address, MemberHealth::Dead);
+        }
+        let forget = self.settings.forget;
+        self.members.retain(|_, member| {
+            !matches!(member.health, MemberHealth::Dead | MemberHealth::Leaving)
+                || now.since(member.since) < forget
+        });
+    }
+
+    pub(super) fn join(&mut self, now: Time) {
+        let knows_somebody = self.reachable().next().is_some();
+        if knows_somebody || now < self.next_join {
+            return;
+        }
+        self.next_join = now + JOIN_EVERY;
+        for seed in self.other_seeds() {
+            self.send(seed, MemberQuestion::Join);
+        }
+    }
+
+    fn other_seeds(&self) -> Vec<String> {
+        let me = &self.me.facts.address;
+        let seeds = self.settings.seeds.iter();
+        seeds.filter(|seed| *seed != me).cloned().collect()
+    }
+
+    /// Asks one node that is thought dead, or a seed that is not known, whether it is there again.
+    pub(super) fn revive(&mut self, now: Time) {
+        if now < self.next_revive {
+            return;
+        }
+        self.next_revive = now + REVIVE_EVERY;
+        let dead = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.health == MemberHealth::Dead)
+            .map(|(address, _)| address.clone());
+        let unknown = self
+            .other_seeds()
+            .into_iter()
+            .filter(|seed| !self.members.contains_key(seed));
+        let asked: Vec<String> = dead.chain(unknown).collect();
+        if let Some(address) = asked.into_iter().choose(&mut self.random) {
+            self.send(address, MemberQuestion::Join);
+        }
+    }
+}
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -3,7 +3,7 @@
 use super::{Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion};
 use crate::{Incarnation, Revision, Span, Time};
 use rand::rngs::SmallRng;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -93,40 +93,37 @@
     },
 }
 
+/// A question that has not been answered yet.
 #[derive(Clone, Debug)]
-struct Probe {
-    target: String,
-    sent: Time,
-    helped: bool,
+pub(super) struct Probe {
+    pub(super) target: String,
+    pub(super) sent: Time,
+    pub(super) helped: bool,
     /// Whoever asked for this probe, with the number to answer.
-    asked_by: Option<(String, u64)>,
+    pub(super) asked_by: Option<(String, u64)>,
 }
 
 /// How often a piece of news is passed on, times the logarithm of the number of nodes.
 const SPREAD: f64 = 3.0;
-/// How long a starting node, or one that knows nobody, waits between questions to a seed.
-const JOIN_EVERY: Span = Span::from_millis(200);
-/// Dead nodes and seeds are still asked now and then, so that two sides of a cut find each other again.
-const REVIVE_EVERY: Span = Span::from_secs(1);
 /// A node that itself was asleep this long suspects nobody for what it missed.
 const SLEPT: Span = Span::from_millis(800);
 
 /// The nodes that this one knows.
 #[derive(Debug)]
 pub struct Membership {
-    settings: MembershipSettings,
-    members: BTreeMap<String, Member>,
-    me: MemberNews,
-    probes: HashMap<u64, Probe>,
-    turn: VecDeque<String>,
-    to_tell: HashMap<String, u32>,
-    next_number: u64,
-    next_round: Time,
-    next_join: Time,
-    next_revive: Time,
-    last_step: Time,
-    random: SmallRng,
-    actions: Vec<MemberAction>,
+    pub(super) settings: MembershipSettings,
+    pub(super) members: BTreeMap<String, Member>,
+    pub(super) me: MemberNews,
+    pub(super) probes: HashMap<u64, Probe>,
+    pub(super) turn: VecDeque<String>,
+    pub(super) to_tell: HashMap<String, u32>,
+    pub(super) next_number: u64,
+    pub(super) next_round: Time,
+    pub(super) next_join: Time,
+    pub(super) next_revive: Time,
+    pub(super) last_step: Time,
+    pub(super) random: SmallRng,
+    pub(super) actions: Vec<MemberAction>,
 }
 
 impl Membership {
@@ -383,7 +380,7 @@
         self.actions.push(MemberAction::Changed { address, health });
     }
 
-    fn set_health(&mut self, now: Time, address: &str, health: MemberHealth) {
+    pub(super) fn set_health(&mut self, now: Time, address: &str, health: MemberHealth) {
         let Some(member) = self.members.get_mut(address) else {
             return;
         };
@@ -399,168 +396,17 @@
         });
     }
 
-    // ------------------------------------------------------------------------
-    // Probes
-
-    fn round(&mut self, now: Time) {
-        if now < self.next_round {
-            return;
-        }
-        self.next_round = now + self.settings.round;
-        if let Some(target) = self.next_target() {
-            self.probe(now, target, None);
-        }
-    }
-
-    /// The next node in turn; each is probed once before any is probed again.
-    fn next_target(&mut self) -> Option<String> {
-        for _ in 0..=self.members.len() {
-            let Some(address) = self.turn.pop_front() else {
-                let mut all: Vec<String> = self.reachable().collect();
-                all.shuffle(&mut self.random);
-                self.turn.extend(all);
-                if self.turn.is_empty() {
-                    return None;
-                }
-                continue;
-            };
-            let member = self.members.get(&address);
-            if member.is_some_and(|member| member.health != MemberHealth::Dead) {
-                return Some(address);
-            }
-        }
-        None
-    }
-
-    fn probe(&mut self, now: Time, target: String, asked_by: Option<(String, u64)>) {
-        let number = self.next_number;
-        self.next_number += 1;
-        self.probes.insert(
-            number,
-            Probe {
-                target: target.clone(),
-                sent: now,
-                helped: false,
-                asked_by,
-            },
-        );
-        self.send(target, MemberQuestion::Probe { number });
-    }
-
-    fn check_probes(&mut self, now: Time) {
-        let late: Vec<u64> = self
-            .probes
-            .iter()
-            .filter(|(_, probe)| now.since(probe.sent) >= self.settings.answer)
-            .map(|(number, _)| *number)
-            .collect();
-        for number in late {
-            self.probe_late(now, number);
-        }
-    }
-
-    fn probe_late(&mut self, now: Time, number: u64) {
-        let Some(mut probe) = self.probes.remove(&number) else {
-            return;
-        };
-        if probe.asked_by.is_some() {
-            return;
-        }
-        if probe.helped {
-            let alive = self
-                .members
-                .get(&probe.target)
-                .is_some_and(|member| member.health == MemberHealth::Alive);
-            if alive {
-                self.set_health(now, &probe.target, MemberHealth::Suspect);
-            }
-            return;
-        }
-        let others: Vec<String> = self
-            .reachable()
-            .filter(|address| *address != probe.target)
-            .collect();
-        let helpers = others
-            .into_iter()
-            .choose_multiple(&mut self.random, self.settings.helpers);
-        for helper in helpers {
-            let target = probe.target.clone();
-            self.send(helper, MemberQuestion::ProbeFor { number, target });
-        }
-        // One more try of its own too: datagrams are lost now and then.
-        self.send(probe.target.clone(), MemberQuestion::Probe { number });
-        probe.helped = true;
-        probe.sent = now;
-        self.probes.insert(number, probe);
-    }
-
-    fn check_suspects(&mut self, now: Time) {
-        let refute = self.settings.refute;
-        let overdue: Vec<String> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.health == MemberHealth::Suspect && now.since(member.since) > refute)
-            .map(|(address, _)| address.clone())
-            .collect();
-        for address in overdue {
-            self.set_health(now, &address, MemberHealth::Dead);
-        }
-        let forget = self.settings.forget;
-        self.members.retain(|_, member| {
-            !matches!(member.health, MemberHealth::Dead | MemberHealth::Leaving)
-                || now.since(member.since) < forget
-        });
-    }
-
-    fn join(&mut self, now: Time) {
-        let knows_somebody = self.reachable().next().is_some();
-        if knows_somebody || now < self.next_join {
-            return;
-        }
-        self.next_join = now + JOIN_EVERY;
-        for seed in self.other_seeds() {
-            self.send(seed, MemberQuestion::Join);
-        }
-    }
-
-    fn other_seeds(&self) -> Vec<String> {
-        let me = &self.me.facts.address;
-        let seeds = self.settings.seeds.iter();
-        seeds.filter(|seed| *seed != me).cloned().collect()
-    }
-
-    /// Asks one node that is thought dead, or a seed that is not known, whether it is there again.
-    fn revive(&mut self, now: Time) {
-        if now < self.next_revive {
-            return;
-        }
-        self.next_revive = now + REVIVE_EVERY;
-        let dead = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.health == MemberHealth::Dead)
-            .map(|(address, _)| address.clone());
-        let unknown = self
-            .other_seeds()
-            .into_iter()
-            .filter(|seed| !self.members.contains_key(seed));
-        let asked: Vec<String> = dead.chain(unknown).collect();
-        if let Some(address) = asked.into_iter().choose(&mut self.random) {
-            self.send(address, MemberQuestion::Join);
-        }
-    }
-
     // ------------------------------------------------------------------------
     // Sending
 
-    fn reachable(&self) -> impl Iterator<Item = String> + '_ {
+    pub(super) fn reachable(&self) -> impl Iterator<Item = String> + '_ {
         self.members
             .iter()
             .filter(|(_, member)| matches!(member.health, MemberHealth::Alive | MemberHealth::Suspect))
             .map(|(address, _)| address.clone())
     }
 
-    fn send(&mut self, to: String, question: MemberQuestion) {
+    pub(super) fn send(&mut self, to: String, question: MemberQuestion) {
         let mut news = vec![self.me.clone()];
         // What a node is thought of comes first to itself, so that it can refute.
         if let Some(member) = self.members.get(&to)
--- a/crates/barleyspool_gateway/src/traffic/answer_body.rs
+++ b/crates/barleyspool_gateway/src/traffic/answer_body.rs
@@ -1,6 +1,6 @@
 //! The body of an answer to a caller.
 
-use super::call::CallGuard;
+use super::call_guard::CallGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -1,29 +1,28 @@
 //! One call, from its head to its answer.
 
 use super::Traffic;
+use super::admission::{self, PlannedPieces};
 use super::answer_body::AnswerBody;
+use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::final_send;
-use super::pools::{self, PoolId};
 use super::results::Results;
 use super::stages;
-use crate::event_log::Line;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    CallHead, Catalog, Counter, ForwardPlan, Need, PoolSpec, Reason, Route, SendHistory, Span, StageRun,
-    TargetKey, Time, Verdict, handle_address,
+    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time,
+    handle_address,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, Uri};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// When to come back to a node that has no configuration yet.
 const CATCH_UP_WAIT: Span = Span::from_millis(300);
@@ -31,100 +30,6 @@
 const MEMORY_WAIT: Span = Span::from_millis(500);
 /// The longest time that a call is held when neither it nor its route says.
 const LONGEST: Span = Span::from_secs(60);
-/// A queue shorter than this share of the aim is no reason to turn a call away.
-const WAIT_SHARE: f64 = 0.2;
-/// Calls are turned away when they are expected to take this many times their aim.
-const AIM_MARGIN: f64 = 1.1;
-
-/// Counts a call in flight, and tells how it ended.
-pub struct CallGuard {
-    traffic: Rc<Traffic>,
-    id: String,
-    route: String,
-    rank: u8,
-    arrived: Time,
-    first: Cell<Option<Time>>,
-    ended: Cell<bool>,
-}
-
-impl CallGuard {
-    fn new(traffic: &Rc<Traffic>, id: &str, route: &str, rank: u8, arrived: Time) -> Self {
-        traffic.shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self {
-            traffic: Rc::clone(traffic),
-            id: id.to_owned(),
-            route: route.to_owned(),
-            rank,
-            arrived,
-            first: Cell::new(None),
-            ended: Cell::new(false),
-        }
-    }
-
-    /// The first output goes to the caller.
-    pub fn first_output(&self) {
-        if self.first.get().is_none() {
-            self.first.set(Some(self.traffic.now()));
-        }
-    }
-
-    /// A target's answer is whole.
-    pub fn answered(&self, status: StatusCode) {
-        self.traffic.count(Counter::Complete(self.rank));
-        self.tell(status.as_u16(), None);
-    }
-
-    /// The call ended without a target's whole answer; status 0 is a closed connection.
-    pub fn failed(&self, status: u16, failure: &CallFailure) {
-        self.traffic.count(match failure.verdict {
-            Verdict::NotRun => Counter::RefusedNotRun(failure.reason),
-            _ => Counter::RefusedUnknown(failure.reason),
-        });
-        self.tell(status, Some(failure));
-    }
-
-    fn tell(&self, status: u16, failure: Option<&CallFailure>) {
-        if self.ended.replace(true) {
-            return;
-        }
-        let now = self.traffic.now();
-        let first = self.first.get().unwrap_or(now);
-        let line = Line::Ended {
-            id: &self.id,
-            route: &self.route,
-            status,
-            reason: failure.map_or("", |failure| failure.reason.name()),
-            verdict: failure.map_or("", |failure| verdict_name(failure.verdict)),
-            step: failure.map_or("", |failure| &failure.step),
-            peer: failure.map_or("", |failure| &failure.peer),
-            come_back_ms: failure.map_or(0, |failure| failure.come_back.as_millis()),
-            first_ms: first.since(self.arrived).as_millis(),
-            took_ms: now.since(self.arrived).as_millis(),
-        };
-        if failure.is_none() && status < 400 {
-            self.traffic.log.write_good(now, &line);
-        } else {
-            self.traffic.log.write(now, &line);
-        }
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        if !self.ended.get() {
-            self.failed(0, &CallFailure::unknown(Reason::CallerLeft));
-        }
-        self.traffic.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-fn verdict_name(verdict: Verdict) -> &'static str {
-    match verdict {
-        Verdict::Complete => "complete",
-        Verdict::NotRun => "not_run",
-        Verdict::Unknown => "unknown",
-    }
-}
 
 /// A call that was taken.
 pub struct Call {
@@ -316,7 +221,7 @@
 async fn run(call: Call, guard: CallGuard) -> Response<AnswerBody> {
     let call = Rc::new(call);
     let traffic = Rc::clone(&call.traffic);
-    if let Err(failure) = admit(&call) {
+    if let Err(failure) = admission::admit(&call) {
         return fail(&traffic, guard, &failure);
     }
     let planned = PlannedPieces::new(&traffic, &call.route, &call.head.pieces);
@@ -362,31 +267,6 @@
     }
 }
 
-/// Turns a call away at once when it is expected to be late because of what waits before it.
-fn admit(call: &Call) -> Result<(), CallFailure> {
-    let now = call.traffic.now();
-    let (base, wait) = call.expected();
-    let expected = base + wait;
-    let line = Line::Admitted {
-        id: &call.head.id,
-        route: &call.route.name,
-        organisation: &call.organisation,
-        rank: call.rank,
-        left_ms: call.deadline.since(now).as_millis(),
-        expected_ms: expected.as_millis(),
-        version: call.catalog.version().0,
-    };
-    let aim = call.route.aim;
-    let late = expected > aim.scale(AIM_MARGIN) && wait > aim.scale(WAIT_SHARE);
-    let hopeless = now + expected > call.deadline && wait > Span::ZERO;
-    if late || hopeless {
-        let failure = CallFailure::not_run(Reason::PoolBusy);
-        return Err(failure.after(wait));
-    }
-    call.traffic.log.write_good(now, &line);
-    Ok(())
-}
-
 impl Call {
     /// What its target must offer.
     pub fn need(&self) -> Need {
@@ -490,114 +370,6 @@
         });
         times.max().unwrap_or_default()
     }
-
-    /// The time that a pool needs for what calls of all nodes that were taken will still bring to it. Nodes get
-    /// alike shares of the calls, so this one's part tells the whole.
-    fn planned_time(&self, plan: &ForwardPlan, service: &str, pool: &PoolSpec) -> Span {
-        let mine = self
-            .traffic
-            .planned
-            .borrow()
-            .get(service)
-            .copied()
-            .unwrap_or_default();
-        let all = mine as f64 * plan.members.len().max(1) as f64;
-        let targets = plan
-            .targets
-            .values()
-            .filter(|entry| entry.service == service && !entry.leaving);
-        let places = targets.count().max(1) as f64 * f64::from(pool.slots.max(1));
-        let full_call = pool.call + Span(pool.item.0 * u64::from(pool.batch));
-        full_call.scale(all / f64::from(pool.batch.max(1)) / places)
-    }
-
-    /// The expected time of the whole call: without waiting, and what waiting adds.
-    fn expected(&self) -> (Span, Span) {
-        let now = self.traffic.now();
-        let plan = self.traffic.plan();
-        let mut done: Vec<(Span, Span)> = Vec::new();
-        for (stage, spec) in self.route.stages.iter().enumerate() {
-            let before = spec.needs.iter().filter_map(|needed| done.get(*needed).copied());
-            let (base, wait) = before
-                .max_by_key(|(base, wait)| *base + *wait)
-                .unwrap_or_default();
-            if self.head.pieces.get(stage) == Some(&0) {
-                done.push((base, wait));
-                continue;
-            }
-            let id = PoolId {
-                service: spec.service.clone(),
-                shard: 0,
-            };
-            let pool = self
-                .catalog
-                .service(&spec.service)
-                .and_then(|service| service.pool.as_ref());
-            let alone = pool.map_or(Span::ZERO, |pool| {
-                pool.call + Span(pool.item.0 * u64::from(pool.batch))
-            });
-            let shards = pools::shards(&plan, &spec.service);
-            let told = match self.traffic.pools.known(&id) {
-                Some(pool) if shards == 1 => Some(pool.wait(&self.traffic)),
-                _ => self.traffic.peers.wait(now, &id),
-            };
-            let queued = Span(told.unwrap_or_default().0.saturating_sub(alone.0));
-            let planned = pool.map_or(Span::ZERO, |pool| self.planned_time(&plan, &spec.service, pool));
-            // While the stages before run, the pool works on.
-            let ahead = Span((queued + planned).0.saturating_sub((base + wait).0));
-            done.push((base + alone, wait + ahead));
-        }
-        let last = done.into_iter().max_by_key(|(base, wait)| *base + *wait);
-        let (base, wait) = last.unwrap_or_default();
-        (base + self.first_time(), wait)
-    }
-}
-
-/// The pieces that a call will still bring to pools. Dropping it takes them off.
-pub struct PlannedPieces {
-    traffic: Rc<Traffic>,
-    pieces: RefCell<Vec<(String, u32)>>,
-}
-
-impl PlannedPieces {
-    fn new(traffic: &Rc<Traffic>, route: &Route, counts: &[u32]) -> Self {
-        let pieces: Vec<(String, u32)> = route
-            .stages
-            .iter()
-            .enumerate()
-            .map(|(stage, spec)| (spec.service.clone(), counts.get(stage).copied().unwrap_or(1)))
-            .collect();
-        let mut planned = traffic.planned.borrow_mut();
-        for (service, count) in &pieces {
-            *planned.entry(service.clone()).or_default() += u64::from(*count);
-        }
-        drop(planned);
-        Self {
-            traffic: Rc::clone(traffic),
-            pieces: RefCell::new(pieces),
-        }
-    }
-
-    /// A stage's pieces are at their pool now.
-    pub fn arrived(&self, stage: usize) {
-        if let Some((service, count)) = self.pieces.borrow_mut().get_mut(stage) {
-            take_off(&self.traffic, service, std::mem::take(count));
-        }
-    }
-}
-
-impl Drop for PlannedPieces {
-    fn drop(&mut self) {
-        for (service, count) in self.pieces.borrow().iter() {
-            take_off(&self.traffic, service, *count);
-        }
-    }
-}
-
-fn take_off(traffic: &Traffic, service: &str, count: u32) {
-    if let Some(planned) = traffic.planned.borrow_mut().get_mut(service) {
-        *planned = planned.saturating_sub(u64::from(count));
-    }
 }
 
 /// The answer to a call that no target answered.
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -1,7 +1,8 @@
 //! Sending a call to the target that answers it, again when that may be done.
 
 use super::answer_body::AnswerBody;
-use super::call::{Call, CallGuard};
+use super::call::Call;
+use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::connections::{Connection, SendFailure};
 use super::placement::{self, Placement};
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -1,7 +1,9 @@
 //! The traffic thread: callers, targets and pieces.
 
+mod admission;
 mod answer_body;
 mod call;
+mod call_guard;
 mod callers;
 mod connections;
 mod final_send;
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -22,6 +22,9 @@
 /// A placement of which nothing was heard for this long is forgotten, in microseconds.
 const FORGET_US: u64 = 30_000_000;
 
+/// Forgotten placements are looked for whenever their number is a multiple of this.
+const LOOK_EVERY: usize = 64;
+
 /// The calls that this node has placed for others and for itself.
 #[derive(Debug, Default)]
 pub struct Placements {
@@ -169,7 +172,7 @@
     let mut placements = traffic.placements.borrow_mut();
     placements.sends.insert(request.call.clone(), (send, now));
     let forgotten = |at: &Time| now.since(*at).0 > FORGET_US;
-    if placements.sends.len() % 64 == 0 {
+    if placements.sends.len().is_multiple_of(LOOK_EVERY) {
         placements.sends.retain(|_, (send, at)| {
             let keep = !forgotten(at);
             if !keep {
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -1,7 +1,8 @@
 //! Passing a stream of events on as it comes, and taking it up again at another target where that is allowed.
 
 use super::answer_body::{AnswerBody, RelayBroken, RelayItem};
-use super::call::{Call, CallGuard};
+use super::call::Call;
+use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::connections::Connection;
 use super::final_send::{self, SendGuard, Sent};
