--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -51,8 +51,8 @@
 pub(super) struct Call {
     runner: String,
     items: Vec<PieceItem>,
-    started: Time,
-    expected: Span,
+    pub(super) started: Time,
+    pub(super) expected: Span,
     reserved: u64,
     overdue: bool,
 }
@@ -109,11 +109,6 @@
         self.orders.values().map(|order| order.waiting).sum()
     }
 
-    /// Whether nothing waits or is at work.
-    pub fn is_idle(&self) -> bool {
-        self.orders.is_empty() && self.calls.is_empty()
-    }
-
     // ------------------------------------------------------------------------
     // Orders
 
