--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -119,6 +119,25 @@
         /// The configuration's version.
         version: u64,
     },
+    /// A call was refused because it would be late.
+    Refused {
+        /// The call's id.
+        id: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// Its priority.
+        rank: u8,
+        /// Milliseconds within which its first output should come.
+        aim_ms: u64,
+        /// Milliseconds that it was expected to take.
+        expected_ms: u64,
+        /// How many of them it would wait.
+        wait_ms: u64,
+        /// The pool that it would wait for longest.
+        slowest: &'a str,
+        /// The configuration's version.
+        version: u64,
+    },
     /// A stage of a call ended.
     Stage {
         /// The call's id.
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -2,7 +2,8 @@
 
 use super::Traffic;
 use super::call::Call;
-use super::pools::{self, PoolId};
+use super::peers::Owner;
+use super::stages;
 use crate::event_log::Line;
 use crate::failure::CallFailure;
 use barleyspool_core::{ForwardPlan, PoolSpec, Reason, Route, Span};
@@ -17,8 +18,26 @@
 /// Turns a call away at once when it is expected to be late because of what waits before it.
 pub fn admit(call: &Call) -> Result<(), CallFailure> {
     let now = call.traffic.now();
-    let (base, wait) = expected(call);
-    let expected = base + wait;
+    let forecast = forecast(call);
+    let expected = forecast.total();
+    let aim = call.route.aim;
+    let late = expected > aim.scale(AIM_MARGIN) && forecast.wait > aim.scale(WAIT_SHARE);
+    let hopeless = now + expected > call.deadline && forecast.wait > Span::ZERO;
+    if late || hopeless {
+        let line = Line::Refused {
+            id: &call.head.id,
+            route: &call.route.name,
+            rank: call.rank,
+            aim_ms: aim.as_millis(),
+            expected_ms: expected.as_millis(),
+            wait_ms: forecast.wait.as_millis(),
+            slowest: &forecast.slowest,
+            version: call.catalog.version().0,
+        };
+        call.traffic.log.write(now, &line);
+        let failure = CallFailure::not_run(Reason::PoolBusy).at(&forecast.slowest, "");
+        return Err(failure.after(forecast.wait));
+    }
     let line = Line::Admitted {
         id: &call.head.id,
         route: &call.route.name,
@@ -28,17 +47,29 @@
         expected_ms: expected.as_millis(),
         version: call.catalog.version().0,
     };
-    let aim = call.route.aim;
-    let late = expected > aim.scale(AIM_MARGIN) && wait > aim.scale(WAIT_SHARE);
-    let hopeless = now + expected > call.deadline && wait > Span::ZERO;
-    if late || hopeless {
-        let failure = CallFailure::not_run(Reason::PoolBusy);
-        return Err(failure.after(wait));
-    }
     call.traffic.log.write_good(now, &line);
     Ok(())
 }
 
+/// When a stage, or the whole call, is expected to be done, counted from now.
+#[derive(Clone, Debug, Default)]
+struct Forecast {
+    /// Without waiting.
+    base: Span,
+    /// What waiting adds.
+    wait: Span,
+    /// The pool that is waited for longest; empty when none is.
+    slowest: String,
+    /// How long it is waited for.
+    longest: Span,
+}
+
+impl Forecast {
+    fn total(&self) -> Span {
+        self.base + self.wait
+    }
+}
+
 /// The time that a pool needs for what calls of all nodes that were taken will still bring to it. Nodes get
 /// alike shares of the calls, so this one's part tells the whole.
 fn planned_time(call: &Call, plan: &ForwardPlan, service: &str, pool: &PoolSpec) -> Span {
@@ -59,45 +90,58 @@
     full_call.scale(all / f64::from(pool.batch.max(1)) / places)
 }
 
-/// The expected time of the whole call: without waiting, and what waiting adds.
-fn expected(call: &Call) -> (Span, Span) {
-    let now = call.traffic.now();
+/// When the whole call is expected to yield its first output.
+fn forecast(call: &Call) -> Forecast {
     let plan = call.traffic.plan();
-    let mut done: Vec<(Span, Span)> = Vec::new();
+    let mut stages: Vec<Forecast> = Vec::new();
     for (stage, spec) in call.route.stages.iter().enumerate() {
-        let before = spec.needs.iter().filter_map(|needed| done.get(*needed).copied());
-        let (base, wait) = before
-            .max_by_key(|(base, wait)| *base + *wait)
-            .unwrap_or_default();
-        if call.head.pieces.get(stage) == Some(&0) {
-            done.push((base, wait));
-            continue;
-        }
-        let id = PoolId {
-            service: spec.service.clone(),
-            shard: 0,
-        };
-        let pool = call
-            .catalog
-            .service(&spec.service)
-            .and_then(|service| service.pool.as_ref());
-        let alone = pool.map_or(Span::ZERO, |pool| {
-            pool.call + Span(pool.item.0 * u64::from(pool.batch))
+        let before = spec.needs.iter().filter_map(|needed| stages.get(*needed));
+        let before = before.max_by_key(|forecast| forecast.total());
+        let start = before.cloned().unwrap_or_default();
+        let left_out = call.head.pieces.get(stage) == Some(&0);
+        stages.push(if left_out {
+            start
+        } else {
+            after_stage(call, &plan, stage, start)
         });
-        let shards = pools::shards(&plan, &spec.service);
-        let told = match call.traffic.pools.known(&id) {
-            Some(pool) if shards == 1 => Some(pool.wait(&call.traffic)),
-            _ => call.traffic.peers.wait(now, &id),
-        };
-        let queued = Span(told.unwrap_or_default().0.saturating_sub(alone.0));
-        let planned = pool.map_or(Span::ZERO, |pool| planned_time(call, &plan, &spec.service, pool));
-        // While the stages before run, the pool works on.
-        let ahead = Span((queued + planned).0.saturating_sub((base + wait).0));
-        done.push((base + alone, wait + ahead));
     }
-    let last = done.into_iter().max_by_key(|(base, wait)| *base + *wait);
-    let (base, wait) = last.unwrap_or_default();
-    (base + call.first_time(), wait)
+    let last = stages.into_iter().max_by_key(Forecast::total);
+    let mut whole = last.unwrap_or_default();
+    whole.base += call.first_time();
+    whole
+}
+
+/// When a stage is expected to be done that starts at `start`.
+fn after_stage(call: &Call, plan: &ForwardPlan, stage: usize, start: Forecast) -> Forecast {
+    let service = &call.route.stages[stage].service;
+    let spec = call
+        .catalog
+        .service(service)
+        .and_then(|service| service.pool.as_ref());
+    let Some(spec) = spec else { return start };
+    let alone = spec.call + Span(spec.item.0 * u64::from(spec.batch));
+    let queued = Span(told_wait(call, stage).0.saturating_sub(alone.0));
+    let planned = planned_time(call, plan, service, spec);
+    // While the stages before run, the pool works on.
+    let ahead = Span((queued + planned).0.saturating_sub(start.total().0));
+    let slower = ahead > start.longest;
+    Forecast {
+        base: start.base + alone,
+        wait: start.wait + ahead,
+        slowest: if slower { service.clone() } else { start.slowest },
+        longest: ahead.max(start.longest),
+    }
+}
+
+/// How long a full call takes at the pool of a stage, by its owner's last word.
+fn told_wait(call: &Call, stage: usize) -> Span {
+    let traffic = &call.traffic;
+    let id = stages::pool_id(call, stage);
+    let told = match traffic.peers.owner(traffic, &id) {
+        Owner::Me => traffic.pools.known(&id).map(|pool| pool.wait(traffic)),
+        Owner::Other(_) => traffic.peers.wait(traffic.now(), &id),
+    };
+    told.unwrap_or_default()
 }
 
 // ----------------------------------------------------------------------------
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -60,15 +60,20 @@
     }
 }
 
+/// The pool, or the shard of a large one, that makes a stage of a call.
+pub fn pool_id(call: &Call, stage: usize) -> PoolId {
+    let service = &call.route.stages[stage].service;
+    let shards = pools::shards(&call.traffic.plan(), service);
+    PoolId {
+        service: service.clone(),
+        shard: (rendezvous::text_key(&call.head.id) % u128::from(shards)) as u32,
+    }
+}
+
 async fn make_stage(call: &Call, ready: ReadyStage, depth: usize) -> StageEnd {
     let traffic = &call.traffic;
     let service = &call.route.stages[ready.stage].service;
-    let plan = traffic.plan();
-    let shards = pools::shards(&plan, service);
-    let pool = PoolId {
-        service: service.clone(),
-        shard: (rendezvous::text_key(&call.head.id) % u128::from(shards)) as u32,
-    };
+    let pool = pool_id(call, ready.stage);
     let began = traffic.now();
     if let Some(planned) = &*call.planned.borrow() {
         planned.arrived(ready.stage);
