--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Order {
     order: PieceOrder,
-    came: Time,
+    pub(super) came: Time,
     pieces: Vec<Piece>,
     tries: Vec<u8>,
     made: u32,
--- a/crates/barleyspool_core/src/forward/pool_wait.rs
+++ b/crates/barleyspool_core/src/forward/pool_wait.rs
@@ -30,10 +30,12 @@
     }
 
     /// How long what waits now takes at the rate at which pieces were made lately. It counts only when more
-    /// waits than a few calls hold: an idle pool makes few pieces because few come.
+    /// waits than a call holds, and has for a while: an idle pool makes few pieces because few come.
     fn measured_wait(&self, now: Time) -> Span {
         let waiting = self.waiting();
-        if waiting <= self.spec.batch {
+        let oldest = self.orders.values().map(|order| order.came).min();
+        let begun = oldest.is_none_or(|came| now.since(came) < RATE_SPAN);
+        if waiting <= self.spec.batch || begun {
             return Span::ZERO;
         }
         let made = self.made.iter().filter(|at| now.since(**at) <= RATE_SPAN).count();
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -314,3 +314,29 @@
     };
     assert_eq!(unknown.fetch_time(1_000), None);
 }
+
+/// A pool that had only just begun had made nothing yet, was taken for one that makes nothing, and refused calls
+/// that had seconds left (seen after a restart of all nodes).
+#[test]
+fn a_pool_that_has_just_begun_is_not_taken_for_a_stuck_one() {
+    let mut queue = queue(2);
+    for request in 0..20 {
+        let order = order(&request.to_string(), BATCH);
+        assert!(
+            queue.submit(at(0), order).is_ok(),
+            "order {request} of 20 takes 2.3 s at two targets"
+        );
+        queue.next_calls(at(0));
+    }
+    let stuck = queue.submit(
+        at(3_000),
+        PieceOrder {
+            deadline: at(8_000),
+            ..order("later", 1)
+        },
+    );
+    assert!(
+        stuck.is_err(),
+        "after three seconds without a piece it is stuck indeed"
+    );
+}
