--- a/crates/barleyspool_core/src/forward/kept_results.rs
+++ b/crates/barleyspool_core/src/forward/kept_results.rs
@@ -8,19 +8,19 @@
 /// A result at its maker.
 #[derive(Clone, Debug)]
 pub(super) struct Kept {
-    pub(super) runner: String,
+    pub(super) target: String,
     pub(super) bytes: u64,
     pub(super) until: Time,
 }
 
 impl PieceQueue {
-    pub(super) fn keep(&mut self, now: Time, runner: &str, handle: &str, bytes: u64) {
+    pub(super) fn keep(&mut self, now: Time, target: &str, handle: &str, bytes: u64) {
         let until = now + self.spec.hold;
-        if let Some(runner) = self.runners.get_mut(runner) {
-            runner.kept += bytes;
+        if let Some(target) = self.targets.get_mut(target) {
+            target.kept += bytes;
         }
         let kept = Kept {
-            runner: runner.to_owned(),
+            target: target.to_owned(),
             bytes,
             until,
         };
@@ -37,15 +37,15 @@
         let mut by_maker: BTreeMap<String, (String, Vec<String>)> = BTreeMap::new();
         for handle in std::mem::take(&mut self.unneeded) {
             let maker = match self.kept.get(&handle) {
-                Some(kept) => Some(kept.runner.clone()),
+                Some(kept) => Some(kept.target.clone()),
                 // Made for another owner of the pool; the handle tells by whom.
                 None => self.maker_of(&handle),
             };
             let Some(id) = maker else { continue };
-            let Some(runner) = self.runners.get(&id) else {
+            let Some(target) = self.targets.get(&id) else {
                 continue;
             };
-            let address = runner.entry.address.clone();
+            let address = target.entry.address.clone();
             let maker = by_maker.entry(id).or_insert((address, Vec::new()));
             maker.1.push(handle);
         }
@@ -61,8 +61,8 @@
             let Some(kept) = self.kept.remove(handle) else {
                 continue;
             };
-            if let Some(runner) = self.runners.get_mut(&kept.runner) {
-                runner.kept = runner.kept.saturating_sub(kept.bytes);
+            if let Some(target) = self.targets.get_mut(&kept.target) {
+                target.kept = target.kept.saturating_sub(kept.bytes);
             }
         }
     }
@@ -70,9 +70,9 @@
     fn maker_of(&self, handle: &str) -> Option<String> {
         let address = handle_address(handle);
         let maker = self
-            .runners
+            .targets
             .iter()
-            .find(|(_, runner)| runner.entry.address == address);
+            .find(|(_, target)| target.entry.address == address);
         maker.map(|(id, _)| id.clone())
     }
 
@@ -85,11 +85,11 @@
         while self.made.front().is_some_and(|at| now.since(*at) > RATE_SPAN) {
             self.made.pop_front();
         }
-        let runners = &mut self.runners;
+        let targets = &mut self.targets;
         self.kept.retain(|_, kept| {
             let expired = now > kept.until;
-            if expired && let Some(runner) = runners.get_mut(&kept.runner) {
-                runner.kept = runner.kept.saturating_sub(kept.bytes);
+            if expired && let Some(target) = targets.get_mut(&kept.target) {
+                target.kept = target.kept.saturating_sub(kept.bytes);
             }
             !expired
         });
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -15,8 +15,8 @@
 mod need;
 mod piece_order;
 mod piece_queue;
-mod piece_runner;
 mod plan;
+mod pool_target;
 mod pool_wait;
 mod prefix_memory;
 mod retry_window;
@@ -39,8 +39,8 @@
     CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome,
 };
 pub use piece_queue::PieceQueue;
-pub use piece_runner::PieceRunner;
 pub use plan::{ForwardPlan, MemberView};
+pub use pool_target::PoolTarget;
 pub use prefix_memory::PrefixMemory;
 pub use retry_window::RetryWindow;
 pub use send_end::{NextStep, SendEnd, SendHistory, next_step};
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -6,10 +6,10 @@
 //! correctness: a piece may be made anew.
 
 use super::kept_results::Kept;
-use super::piece_runner::TOO_SLOW;
+use super::pool_target::TOO_SLOW;
 use super::{
-    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PieceRunner,
-    PoolSpec, TargetEntry, TargetTable,
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PoolSpec,
+    PoolTarget, TargetEntry, TargetTable,
 };
 use crate::{Span, Time};
 use slotmap::SlotMap;
@@ -21,13 +21,13 @@
 const PATIENCE_LEAST: Span = Span::from_millis(60);
 /// A piece that failed this often is given up.
 const MOST_TRIES: u8 = 4;
-/// A slow runner is tried again after this time.
+/// A slow target is tried again after this time.
 const SLOW_TRIAL: Span = Span::from_millis(1500);
 /// Pieces of priority r are taken as if they were due this much later, times r.
 const RANK_STEP: Span = Span::from_millis(150);
 /// What an order that can no longer make its aim is put back by.
 const LATE_STEP: Span = Span::from_secs(2);
-/// Work in progress is spread over idle runners down to this share of a full call.
+/// Work in progress is spread over idle targets down to this share of a full call.
 const LEAST_SHARE: f64 = 0.25;
 
 #[derive(Clone, Debug)]
@@ -49,7 +49,7 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Call {
-    runner: String,
+    target: String,
     items: Vec<PieceItem>,
     pub(super) started: Time,
     pub(super) expected: Span,
@@ -63,13 +63,13 @@
     pub(super) spec: PoolSpec,
     pub(super) orders: SlotMap<OrderKey, Order>,
     pub(super) calls: SlotMap<CallKey, Call>,
-    pub(super) runners: BTreeMap<String, PieceRunner>,
+    pub(super) targets: BTreeMap<String, PoolTarget>,
     pub(super) kept: HashMap<String, Kept>,
     pub(super) ended: Vec<(OrderKey, OrderEnd)>,
     /// When pieces were made lately.
     pub(super) made: VecDeque<Time>,
     pub(super) unneeded: Vec<String>,
-    /// Time of calls over what the specification says, over all runners.
+    /// Time of calls over what the specification says, over all targets.
     pub(super) pace: f64,
 }
 
@@ -86,22 +86,22 @@
     /// Takes a newer specification and the targets of the pool that this queue owns.
     pub fn take_plan(&mut self, spec: &PoolSpec, table: &TargetTable, mine: impl Fn(&TargetEntry) -> bool) {
         self.spec = spec.clone();
-        self.runners
-            .retain(|id, runner| table.contains_key(id) || runner.calls > 0);
+        self.targets
+            .retain(|id, target| table.contains_key(id) || target.calls > 0);
         for (id, entry) in table.iter().filter(|(_, entry)| mine(entry)) {
-            let new = || PieceRunner::new(entry.clone());
-            self.runners.entry(id.clone()).or_insert_with(new).entry = entry.clone();
+            let new = || PoolTarget::new(entry.clone());
+            self.targets.entry(id.clone()).or_insert_with(new).entry = entry.clone();
         }
-        for (id, runner) in &mut self.runners {
+        for (id, target) in &mut self.targets {
             if !table.contains_key(id) {
-                runner.entry.leaving = true;
+                target.entry.leaving = true;
             }
         }
     }
 
     /// The targets, for operators.
-    pub fn runners(&self) -> impl Iterator<Item = &PieceRunner> {
-        self.runners.values()
+    pub fn targets(&self) -> impl Iterator<Item = &PoolTarget> {
+        self.targets.values()
     }
 
     /// Pieces that wait.
@@ -167,41 +167,41 @@
         if waiting == 0 {
             return None;
         }
-        let (runner, idle) = self.pick_runner(now, waiting)?;
+        let (target, idle) = self.pick_target(now, waiting)?;
         let share = f64::from(waiting) / idle as f64;
         let least = f64::from(self.spec.batch) * LEAST_SHARE;
         let size = (share.max(least).ceil() as u32).clamp(1, self.spec.batch.max(1));
-        let items = self.take_items(now, &runner, size);
+        let items = self.take_items(now, &target, size);
         if items.is_empty() {
             return None;
         }
-        Some(self.start_call(now, runner, items))
+        Some(self.start_call(now, target, items))
     }
 
-    /// The idle runner to use next, and how many are idle.
-    fn pick_runner(&self, now: Time, waiting: u32) -> Option<(String, usize)> {
+    /// The idle target to use next, and how many are idle.
+    fn pick_target(&self, now: Time, waiting: u32) -> Option<(String, usize)> {
         let slots = self.spec.slots.max(1);
-        let idle: Vec<(&String, &PieceRunner)> = self
-            .runners
+        let idle: Vec<(&String, &PoolTarget)> = self
+            .targets
             .iter()
-            .filter(|(_, runner)| runner.usable(now) && runner.calls < slots)
+            .filter(|(_, target)| target.usable(now) && target.calls < slots)
             .collect();
         let fastest = self
-            .runners
+            .targets
             .values()
-            .filter(|runner| runner.usable(now))
-            .map(|runner| runner.slowness)
+            .filter(|target| target.usable(now))
+            .map(|target| target.slowness)
             .fold(f64::MAX, f64::min);
-        let fit = |runner: &PieceRunner| {
-            let slow = runner.slowness > fastest * TOO_SLOW;
-            let trial = now.since(runner.measured) > SLOW_TRIAL;
-            let crowded = waiting > self.spec.batch.saturating_mul(self.runners.len() as u32);
+        let fit = |target: &PoolTarget| {
+            let slow = target.slowness > fastest * TOO_SLOW;
+            let trial = now.since(target.measured) > SLOW_TRIAL;
+            let crowded = waiting > self.spec.batch.saturating_mul(self.targets.len() as u32);
             !slow || trial || crowded
         };
-        let fit: Vec<_> = idle.into_iter().filter(|(_, runner)| fit(runner)).collect();
+        let fit: Vec<_> = idle.into_iter().filter(|(_, target)| fit(target)).collect();
         let wanted = self.wanted_zone();
         let best = fit.iter().min_by(|(_, one), (_, other)| {
-            let key = |runner: &PieceRunner| (runner.entry.zone != wanted, (runner.slowness * 10.0) as u64);
+            let key = |target: &PoolTarget| (target.entry.zone != wanted, (target.slowness * 10.0) as u64);
             key(one).cmp(&key(other))
         });
         best.map(|(id, _)| ((*id).clone(), fit.len()))
@@ -224,13 +224,13 @@
         (order.order.due + rank + put_back, order.came)
     }
 
-    fn take_items(&mut self, now: Time, runner: &str, size: u32) -> Vec<PieceItem> {
+    fn take_items(&mut self, now: Time, target: &str, size: u32) -> Vec<PieceItem> {
         let zone = self
-            .runners
-            .get(runner)
-            .map_or(String::new(), |runner| runner.entry.zone.clone());
-        let room = |runner: &PieceRunner| runner.free_room(now, self.spec.room);
-        let mut room = self.runners.get(runner).map_or(0, room);
+            .targets
+            .get(target)
+            .map_or(String::new(), |target| target.entry.zone.clone());
+        let room = |target: &PoolTarget| target.free_room(now, self.spec.room);
+        let mut room = self.targets.get(target).map_or(0, room);
         let mut waiting: Vec<OrderKey> = self
             .orders
             .iter()
@@ -271,21 +271,21 @@
         items
     }
 
-    fn start_call(&mut self, now: Time, runner: String, items: Vec<PieceItem>) -> PieceCall {
-        let slowness = self.runners.get(&runner).map_or(1.0, |runner| runner.slowness);
+    fn start_call(&mut self, now: Time, target: String, items: Vec<PieceItem>) -> PieceCall {
+        let slowness = self.targets.get(&target).map_or(1.0, |target| target.slowness);
         let expected = self.call_time(items.len() as u32).scale(slowness);
         let bytes = |item: &PieceItem| self.orders.get(item.order).map_or(0, |order| order.order.bytes);
         let reserved = items.iter().map(bytes).sum();
-        let (id, address) = match self.runners.get_mut(&runner) {
-            Some(runner) => {
-                runner.calls += 1;
-                runner.kept += reserved;
-                (runner.entry.id.clone(), runner.entry.address.clone())
+        let (id, address) = match self.targets.get_mut(&target) {
+            Some(target) => {
+                target.calls += 1;
+                target.kept += reserved;
+                (target.entry.id.clone(), target.entry.address.clone())
             }
             None => (String::new(), String::new()),
         };
         let call = self.calls.insert(Call {
-            runner,
+            target,
             items: items.clone(),
             started: now,
             expected,
@@ -305,40 +305,40 @@
         let Some(call) = self.calls.remove(key) else {
             return;
         };
-        if let Some(runner) = self.runners.get_mut(&call.runner) {
-            runner.calls = runner.calls.saturating_sub(1);
-            runner.kept = runner.kept.saturating_sub(call.reserved);
+        if let Some(target) = self.targets.get_mut(&call.target) {
+            target.calls = target.calls.saturating_sub(1);
+            target.kept = target.kept.saturating_sub(call.reserved);
         }
         match outcome {
             CallOutcome::Done(outcomes) => self.call_done(now, &call, outcomes),
             CallOutcome::Refused { misdirected: false } => {
-                self.on_runner(&call.runner, |runner| runner.was_full(now));
+                self.on_target(&call.target, |target| target.was_full(now));
                 self.requeue(&call, false);
             }
             CallOutcome::Refused { misdirected: true } | CallOutcome::Unreachable => {
-                self.on_runner(&call.runner, |runner| runner.failed(now));
+                self.on_target(&call.target, |target| target.failed(now));
                 self.requeue(&call, false);
             }
             CallOutcome::BrokenOff => {
-                self.on_runner(&call.runner, |runner| runner.failed(now));
+                self.on_target(&call.target, |target| target.failed(now));
                 self.requeue(&call, true);
             }
         }
     }
 
-    fn on_runner(&mut self, id: &str, change: impl FnOnce(&mut PieceRunner)) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            change(runner);
+    fn on_target(&mut self, id: &str, change: impl FnOnce(&mut PoolTarget)) {
+        if let Some(target) = self.targets.get_mut(id) {
+            change(target);
         }
     }
 
     fn call_done(&mut self, now: Time, call: &Call, outcomes: Vec<PieceOutcome>) {
         let base = self.call_time(call.items.len() as u32).0.max(1) as f64;
         let relative = now.since(call.started).0 as f64 / base;
-        if let Some(runner) = self.runners.get_mut(&call.runner) {
-            runner.answered(now, relative);
+        if let Some(target) = self.targets.get_mut(&call.target) {
+            target.answered(now, relative);
         }
-        // The whole pool's pace moves slowly and little: one slow runner must not look normal.
+        // The whole pool's pace moves slowly and little: one slow target must not look normal.
         self.pace = (self.pace * (1.0 + 0.02 * (relative.min(1.5) - 1.0))).clamp(0.3, 3.0);
         let mut outcomes = outcomes.into_iter();
         for item in &call.items {
@@ -352,7 +352,7 @@
         match outcome {
             PieceOutcome::Made(handle) => {
                 let bytes = self.orders.get(item.order).map_or(0, |order| order.order.bytes);
-                self.keep(now, &call.runner, &handle, bytes);
+                self.keep(now, &call.target, &handle, bytes);
                 if !known || !self.piece_made(now, item, &handle) {
                     self.unneeded.push(handle);
                 }
@@ -364,8 +364,8 @@
             }
             PieceOutcome::NoRoom => {
                 // That is no fault of the piece: it waits for room elsewhere.
-                if let Some(runner) = self.runners.get_mut(&call.runner) {
-                    runner.had_no_room(now);
+                if let Some(target) = self.targets.get_mut(&call.target) {
+                    target.had_no_room(now);
                 }
                 self.requeue_item(item, false);
             }
@@ -451,7 +451,7 @@
             };
             let copy = call.clone();
             call.overdue = true;
-            self.on_runner(&copy.runner, |runner| runner.overdue(now));
+            self.on_target(&copy.target, |target| target.overdue(now));
             for item in &copy.items {
                 self.requeue_item(item, true);
             }
@@ -468,10 +468,10 @@
             .min();
         let waits = self.waiting() > 0;
         let back = self
-            .runners
+            .targets
             .values()
-            .filter(|runner| waits && runner.out_until > now)
-            .map(|runner| runner.out_until)
+            .filter(|target| waits && target.out_until > now)
+            .map(|target| target.out_until)
             .min();
         let look = waits.then(|| now + Span::from_millis(100));
         [overdue, back, look].into_iter().flatten().min()
--- a/crates/barleyspool_core/src/forward/piece_runner.rs
+++ b/crates/barleyspool_core/src/forward/pool_target.rs
@@ -3,33 +3,33 @@
 use super::TargetEntry;
 use crate::{Span, Time};
 
-/// How long a runner that failed gets nothing, the first time.
+/// How long a target that failed gets nothing, the first time.
 const OUT_FIRST: Span = Span::from_millis(300);
 /// And at the most.
 const OUT_LONGEST: Span = Span::from_secs(4);
-/// How long a runner that said it is full gets nothing, the first time.
+/// How long a target that said it is full gets nothing, the first time.
 const FULL_FIRST: Span = Span::from_millis(25);
 /// And at the most.
 const FULL_LONGEST: Span = Span::from_millis(400);
-/// How long a runner without room is reckoned to have none: results of which this node does not know, since
+/// How long a target without room is reckoned to have none: results of which this node does not know, since
 /// another node owned the pool before, are freed or expire meanwhile.
 const NO_ROOM: Span = Span::from_millis(250);
-/// What a runner's room is multiplied with when it had none: sizes of results are approximate.
+/// What a target's room is multiplied with when it had none: sizes of results are approximate.
 const ROOM_SHRINK: f64 = 0.9;
 /// What it is multiplied with after a call.
 const ROOM_GROW: f64 = 1.01;
 /// The least part of its room that is reckoned with.
 const LEAST_ROOM: f64 = 0.5;
-/// The part of a runner's room that is still tried after it said that it has none.
+/// The part of a target's room that is still tried after it said that it has none.
 const NO_ROOM_SHARE: u64 = 16;
 /// How much a new measurement moves an average.
 const GAIN: f64 = 0.3;
-/// A runner this much slower than the pool is used only while others are all busy and much waits.
+/// A target this much slower than the pool is used only while others are all busy and much waits.
 pub(super) const TOO_SLOW: f64 = 1.8;
 
 /// A target of the pool as its owner sees it.
 #[derive(Clone, Debug, Default)]
-pub struct PieceRunner {
+pub struct PoolTarget {
     /// What the list says.
     pub entry: TargetEntry,
     /// Calls that it is working on for this node.
@@ -49,7 +49,7 @@
     pub measured: Time,
 }
 
-impl PieceRunner {
+impl PoolTarget {
     /// A target that has just come onto the list.
     pub fn new(entry: TargetEntry) -> Self {
         Self {
--- a/crates/barleyspool_core/src/forward/pool_wait.rs
+++ b/crates/barleyspool_core/src/forward/pool_wait.rs
@@ -9,7 +9,7 @@
 impl PieceQueue {
     /// How long `more` pieces that came now would take to be made, waiting included.
     pub fn expected_wait(&self, now: Time, more: u64) -> Span {
-        let usable = self.runners.values().filter(|runner| runner.usable(now)).count();
+        let usable = self.targets.values().filter(|target| target.usable(now)).count();
         if usable == 0 {
             // A pool without targets may get some; until then a call's time is the best guess.
             return self.call_time(self.spec.batch) + self.call_time(self.spec.batch);
