A target that went over to another shard of its pool gets no more calls from the shard it left

A release and a scale-out took build-pipeline from 15 to more than 16 targets, so the pool was split; the owner of shard 0 kept all targets of before with their last entries, and never heard that one of them was leaving, since it updated the entries of its own shard only. Ruled out: late news of the list (all nodes logged the change within 100 ms). Test: forward_pieces::a_target_that_went_to_another_shard_and_leaves_there_gets_nothing (red before).

--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -83,18 +83,23 @@
         }
     }
 
-    /// Takes a newer specification and the targets of the pool that this queue owns.
+    /// Takes a newer specification and the targets of the pool that this queue owns. A target that went over to
+    /// another shard gets nothing more from here, but its results can still be freed.
     pub fn take_plan(&mut self, spec: &PoolSpec, table: &TargetTable, mine: impl Fn(&TargetEntry) -> bool) {
         self.spec = spec.clone();
         self.targets
             .retain(|id, target| table.contains_key(id) || target.calls > 0);
         for (id, entry) in table.iter().filter(|(_, entry)| mine(entry)) {
             let new = || PoolTarget::new(entry.clone());
-            self.targets.entry(id.clone()).or_insert_with(new).entry = entry.clone();
+            self.targets.entry(id.clone()).or_insert_with(new);
         }
         for (id, target) in &mut self.targets {
-            if !table.contains_key(id) {
-                target.entry.leaving = true;
+            match table.get(id) {
+                Some(entry) => {
+                    target.owned = mine(entry);
+                    target.entry = entry.clone();
+                }
+                None => target.entry.leaving = true,
             }
         }
     }
--- a/crates/barleyspool_core/src/forward/pool_target.rs
+++ b/crates/barleyspool_core/src/forward/pool_target.rs
@@ -32,6 +32,8 @@
 pub struct PoolTarget {
     /// What the list says.
     pub entry: TargetEntry,
+    /// Whether it belongs to the shard of the pool that this node owns.
+    pub owned: bool,
     /// Calls that it is working on for this node.
     pub calls: u32,
     /// Time of its calls over what was expected.
@@ -54,6 +56,7 @@
     pub fn new(entry: TargetEntry) -> Self {
         Self {
             entry,
+            owned: true,
             slowness: 1.0,
             out_for: OUT_FIRST,
             full_for: FULL_FIRST,
@@ -64,7 +67,7 @@
 
     /// Whether it may get calls now.
     pub fn usable(&self, now: Time) -> bool {
-        !self.entry.leaving && now >= self.out_until
+        self.owned && !self.entry.leaving && now >= self.out_until
     }
 
     /// What it still has room for, of `room` bytes. After it said that it has none, small results, of which many
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -299,6 +299,24 @@
     );
 }
 
+#[test]
+fn a_target_that_went_to_another_shard_and_leaves_there_gets_nothing() {
+    let mut queue = queue(2);
+    let mut newer = table(2);
+    for entry in newer.values_mut().filter(|entry| entry.id == "i-0") {
+        entry.leaving = true;
+    }
+    // The pool was split: this queue owns the second target only, and the first leaves.
+    queue.take_plan(&spec(), &newer, |entry| entry.id == "i-1");
+    submit(&mut queue, at(0), order("a", BATCH));
+    submit(&mut queue, at(0), order("b", BATCH));
+    let asked: Vec<String> = queue.next_calls(at(0)).into_iter().map(|call| call.id).collect();
+    assert_eq!(asked, ["i-1"]);
+    // A handle of its results is still freed at it.
+    queue.give_up(vec!["10.0.0.0:80/x".to_owned()]);
+    assert_eq!(queue.take_unneeded().len(), 1);
+}
+
 #[test]
 fn inputs_are_kept_for_as_long_as_their_reader_needs_to_fetch_them() {
     let short = spec().fetch_time(1_000);
