Changes of the list of targets are gathered for 250 ms before the next watch

Cause: each answer of a watch is a call to the platform, and targets come and go many at a time: 111 of them at the start were 111 calls for each of 86 nodes.

--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -13,6 +13,9 @@
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 /// How long a read may take.
 const READ: Duration = Duration::from_millis(1500);
+/// The least time between a change of the list of targets and the next watch of it. Targets come and go many
+/// at a time, and each answer of a watch is a call: what changes meanwhile comes with one answer.
+const GATHER: Duration = Duration::from_millis(250);
 /// Follows a feed until the process ends.
 pub async fn run(state: Rc<ControlState>, source: Rc<dyn Source>, feed: Feed) {
     let mut cursor = FeedCursor::default();
@@ -25,6 +28,9 @@
             Ok(at) => {
                 cursor.answered(at);
                 state.feed_result(feed, None);
+                if feed == Feed::Targets {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Err(SourceError::HistoryGone) => cursor.history_gone(),
             Err(error) => {
