--- a/crates/barleyspool_core/src/forward/choice.rs
+++ b/crates/barleyspool_core/src/forward/choice.rs
@@ -34,7 +34,7 @@
         let mut usable: Vec<TargetKey> = Vec::with_capacity(keys.len());
         for key in &keys {
             if let Some(record) = self.targets.get_mut(*key)
-                && need.placing.is_none_or(|shard| shard.holds(&record.entry.id))
+                && need.placing.is_none_or(|shard| shard.holds(record.hash))
                 && record.usable(now, &self.chart)
             {
                 usable.push(*key);
@@ -143,7 +143,7 @@
             return None;
         }
         let place = |key: &&TargetKey| {
-            let member = rendezvous::text_key(&self.targets[**key].entry.id) as u64;
+            let member = self.targets[**key].hash as u64;
             rendezvous::place(u128::from(prefix), member)
         };
         usable.iter().min_by_key(place).copied()
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod kept_results;
 mod need;
 mod piece_order;
+mod piece_pick;
 mod piece_queue;
 mod plan;
 mod pool_target;
--- a/crates/barleyspool_core/src/forward/need.rs
+++ b/crates/barleyspool_core/src/forward/need.rs
@@ -38,9 +38,9 @@
 }
 
 impl Shard {
-    /// Whether a target belongs to it.
-    pub fn holds(self, target: &str) -> bool {
-        let picked = rendezvous::pick(rendezvous::text_key(target), (0..self.of).map(u64::from));
+    /// Whether the target with that hash of its id belongs to it.
+    pub fn holds(self, target: u128) -> bool {
+        let picked = rendezvous::pick(target, (0..self.of).map(u64::from));
         picked == Some(u64::from(self.number))
     }
 }
--- a/crates/barleyspool_core/src/forward/piece_order.rs
+++ b/crates/barleyspool_core/src/forward/piece_order.rs
@@ -31,6 +31,8 @@
     pub rank: u8,
     /// The approximate size of one result, in bytes.
     pub bytes: u64,
+    /// The approximate size of all results that each piece needs, in bytes.
+    pub input_bytes: u64,
     /// The zone where the results will be read; empty when it does not matter.
     pub zone: String,
 }
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/piece_pick.rs
@@ -0,0 +1,167 @@
+//! Which waiting pieces go into the next call, and to which target of the pool.
+
+use super::piece_queue::{Order, Piece};
+use super::pool_target::TOO_SLOW;
+use super::{OrderKey, PieceCall, PieceItem, PieceQueue, PoolTarget};
+use crate::{Span, Time};
+
+/// A slow target is tried again after this time.
+const SLOW_TRIAL: Span = Span::from_millis(1500);
+/// Pieces of priority r are taken as if they were due this much later, times r.
+const RANK_STEP: Span = Span::from_millis(150);
+/// What an order that can no longer make its aim is put back by.
+const LATE_STEP: Span = Span::from_secs(2);
+/// Work in progress is spread over idle targets down to this share of a full call.
+const LEAST_SHARE: f64 = 0.25;
+
+/// An idle target that may get the next call.
+#[derive(Clone, Debug)]
+struct Idle {
+    id: String,
+    zone: String,
+    /// Tenths of its slowness, so that small differences say nothing.
+    slowness: u64,
+}
+
+impl PieceQueue {
+    pub(super) fn next_call(&mut self, now: Time) -> Option<PieceCall> {
+        let waiting = self.waiting();
+        if waiting == 0 {
+            return None;
+        }
+        let idle = self.idle_targets(now, waiting);
+        for target in &idle {
+            let zone_peers = idle.iter().filter(|other| other.zone == target.zone).count();
+            let share = self.share(now, &target.zone, idle.len(), zone_peers);
+            let least = f64::from(self.spec.batch) * LEAST_SHARE;
+            let size = (share.max(least).ceil() as u32).clamp(1, self.spec.batch.max(1));
+            let items = self.take_items(now, target, size);
+            if !items.is_empty() {
+                return Some(self.start_call(now, target.id.clone(), items));
+            }
+        }
+        None
+    }
+
+    // ------------------------------------------------------------------------
+    // Targets
+
+    /// The idle targets that may be used, those first whose zone the most urgent order wants, then the fastest.
+    fn idle_targets(&self, now: Time, waiting: u32) -> Vec<Idle> {
+        let slots = self.spec.slots.max(1);
+        let usable = || self.targets.iter().filter(|(_, target)| target.usable(now));
+        let fastest = usable()
+            .map(|(_, target)| target.slowness)
+            .fold(f64::MAX, f64::min);
+        let fit = |target: &PoolTarget| {
+            let slow = target.slowness > fastest * TOO_SLOW;
+            let trial = now.since(target.measured) > SLOW_TRIAL;
+            let crowded = waiting > self.spec.batch.saturating_mul(self.targets.len() as u32);
+            !slow || trial || crowded
+        };
+        let mut idle: Vec<Idle> = usable()
+            .filter(|(_, target)| target.calls < slots && fit(target))
+            .map(|(id, target)| Idle {
+                id: id.clone(),
+                zone: target.entry.zone.clone(),
+                slowness: (target.slowness * 10.0) as u64,
+            })
+            .collect();
+        let wanted = self.wanted_zone();
+        idle.sort_by_key(|target| (target.zone != wanted, target.slowness));
+        idle
+    }
+
+    /// The zone that the most urgent order wants.
+    fn wanted_zone(&self) -> String {
+        let urgent = self.orders.values().filter(|order| order.waiting > 0);
+        urgent
+            .min_by_key(|order| order.order.due)
+            .map(|order| order.order.zone.clone())
+            .unwrap_or_default()
+    }
+
+    /// An idle target's share of what waits: pieces that want its zone are shared with the idle targets there,
+    /// all others with all idle targets.
+    fn share(&self, now: Time, zone: &str, idle: usize, zone_peers: usize) -> f64 {
+        let (mut near, mut free) = (0, 0);
+        for order in self.orders.values() {
+            if order.order.zone == zone {
+                near += order.waiting;
+            } else if self.may_go_far(now, order) {
+                free += order.waiting;
+            }
+        }
+        f64::from(near) / zone_peers.max(1) as f64 + f64::from(free) / idle.max(1) as f64
+    }
+
+    // ------------------------------------------------------------------------
+    // Pieces
+
+    /// Whether an order may be made outside the zone that it wants. Its results or inputs would cross zones, and
+    /// inputs once for each piece, so it waits for a target of its zone for as long as it has the time.
+    fn may_go_far(&self, now: Time, order: &Order) -> bool {
+        let zone = &order.order.zone;
+        if zone.is_empty() || now + self.call_time(self.spec.batch).scale(2.0) > order.order.due {
+            return true;
+        }
+        let near = |target: &PoolTarget| target.usable(now) && target.entry.zone == *zone;
+        !self.targets.values().any(near)
+    }
+
+    /// When an order is to be taken; the lower, the sooner.
+    fn urgency(&self, now: Time, order: &Order) -> (Time, Time) {
+        let rank = Span(RANK_STEP.0 * u64::from(order.order.rank));
+        let late = now + self.call_time(1) > order.order.due;
+        let put_back = if late { LATE_STEP } else { Span::ZERO };
+        (order.order.due + rank + put_back, order.came)
+    }
+
+    /// The orders with pieces that `target` may make now, the most urgent first.
+    fn eligible(&self, now: Time, target: &Idle) -> Vec<OrderKey> {
+        let near = |order: &Order| order.order.zone == target.zone || order.order.zone.is_empty();
+        let mut waiting: Vec<OrderKey> = self
+            .orders
+            .iter()
+            .filter(|(_, order)| order.waiting > 0 && (near(order) || self.may_go_far(now, order)))
+            .map(|(key, _)| key)
+            .collect();
+        waiting.sort_by_cached_key(|key| {
+            let order = &self.orders[*key];
+            let (at, came) = self.urgency(now, order);
+            // Large results stay in the zone where they are read when something else can fill the call.
+            (if near(order) { at } else { at + RANK_STEP }, came)
+        });
+        waiting
+    }
+
+    fn take_items(&mut self, now: Time, target: &Idle, size: u32) -> Vec<PieceItem> {
+        let room = |target: &PoolTarget| target.free_room(now, self.spec.room);
+        let mut room = self.targets.get(&target.id).map_or(0, room);
+        let mut items = Vec::new();
+        for key in self.eligible(now, target) {
+            let Some(order) = self.orders.get_mut(key) else {
+                continue;
+            };
+            for piece in 0..order.pieces.len() {
+                let full = items.len() as u32 >= self.spec.batch.max(1);
+                // An order that was begun is taken whole: its pieces read the same inputs.
+                let begun = items.last().is_some_and(|item: &PieceItem| item.order == key);
+                if full || (items.len() as u32 >= size && !begun) {
+                    return items;
+                }
+                if !matches!(order.pieces[piece], Piece::Waiting) || order.order.bytes > room {
+                    continue;
+                }
+                room -= order.order.bytes;
+                order.pieces[piece] = Piece::InCall;
+                order.waiting -= 1;
+                items.push(PieceItem {
+                    order: key,
+                    piece: piece as u32,
+                });
+            }
+        }
+        items
+    }
+}
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -6,7 +6,6 @@
 //! correctness: a piece may be made anew.
 
 use super::kept_results::Kept;
-use super::pool_target::TOO_SLOW;
 use super::{
     CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PoolSpec,
     PoolTarget, TargetEntry, TargetTable,
@@ -21,17 +20,10 @@
 const PATIENCE_LEAST: Span = Span::from_millis(60);
 /// A piece that failed this often is given up.
 const MOST_TRIES: u8 = 4;
-/// A slow target is tried again after this time.
-const SLOW_TRIAL: Span = Span::from_millis(1500);
-/// Pieces of priority r are taken as if they were due this much later, times r.
-const RANK_STEP: Span = Span::from_millis(150);
-/// What an order that can no longer make its aim is put back by.
-const LATE_STEP: Span = Span::from_secs(2);
-/// Work in progress is spread over idle targets down to this share of a full call.
-const LEAST_SHARE: f64 = 0.25;
 
+/// How far one piece of an order is.
 #[derive(Clone, Debug)]
-enum Piece {
+pub(super) enum Piece {
     Waiting,
     InCall,
     Made(String),
@@ -39,12 +31,12 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Order {
-    order: PieceOrder,
+    pub(super) order: PieceOrder,
     pub(super) came: Time,
-    pieces: Vec<Piece>,
+    pub(super) pieces: Vec<Piece>,
     tries: Vec<u8>,
     made: u32,
-    waiting: u32,
+    pub(super) waiting: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -167,116 +159,7 @@
         calls
     }
 
-    fn next_call(&mut self, now: Time) -> Option<PieceCall> {
-        let waiting = self.waiting();
-        if waiting == 0 {
-            return None;
-        }
-        let (target, idle) = self.pick_target(now, waiting)?;
-        let share = f64::from(waiting) / idle as f64;
-        let least = f64::from(self.spec.batch) * LEAST_SHARE;
-        let size = (share.max(least).ceil() as u32).clamp(1, self.spec.batch.max(1));
-        let items = self.take_items(now, &target, size);
-        if items.is_empty() {
-            return None;
-        }
-        Some(self.start_call(now, target, items))
-    }
-
-    /// The idle target to use next, and how many are idle.
-    fn pick_target(&self, now: Time, waiting: u32) -> Option<(String, usize)> {
-        let slots = self.spec.slots.max(1);
-        let idle: Vec<(&String, &PoolTarget)> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| target.usable(now) && target.calls < slots)
-            .collect();
-        let fastest = self
-            .targets
-            .values()
-            .filter(|target| target.usable(now))
-            .map(|target| target.slowness)
-            .fold(f64::MAX, f64::min);
-        let fit = |target: &PoolTarget| {
-            let slow = target.slowness > fastest * TOO_SLOW;
-            let trial = now.since(target.measured) > SLOW_TRIAL;
-            let crowded = waiting > self.spec.batch.saturating_mul(self.targets.len() as u32);
-            !slow || trial || crowded
-        };
-        let fit: Vec<_> = idle.into_iter().filter(|(_, target)| fit(target)).collect();
-        let wanted = self.wanted_zone();
-        let best = fit.iter().min_by(|(_, one), (_, other)| {
-            let key = |target: &PoolTarget| (target.entry.zone != wanted, (target.slowness * 10.0) as u64);
-            key(one).cmp(&key(other))
-        });
-        best.map(|(id, _)| ((*id).clone(), fit.len()))
-    }
-
-    /// The zone that the most urgent order wants.
-    fn wanted_zone(&self) -> String {
-        let urgent = self.orders.values().filter(|order| order.waiting > 0);
-        urgent
-            .min_by_key(|order| order.order.due)
-            .map(|order| order.order.zone.clone())
-            .unwrap_or_default()
-    }
-
-    /// When an order is to be taken; the lower, the sooner.
-    fn urgency(&self, now: Time, order: &Order) -> (Time, Time) {
-        let rank = Span(RANK_STEP.0 * u64::from(order.order.rank));
-        let late = now + self.call_time(1) > order.order.due;
-        let put_back = if late { LATE_STEP } else { Span::ZERO };
-        (order.order.due + rank + put_back, order.came)
-    }
-
-    fn take_items(&mut self, now: Time, target: &str, size: u32) -> Vec<PieceItem> {
-        let zone = self
-            .targets
-            .get(target)
-            .map_or(String::new(), |target| target.entry.zone.clone());
-        let room = |target: &PoolTarget| target.free_room(now, self.spec.room);
-        let mut room = self.targets.get(target).map_or(0, room);
-        let mut waiting: Vec<OrderKey> = self
-            .orders
-            .iter()
-            .filter(|(_, order)| order.waiting > 0)
-            .map(|(key, _)| key)
-            .collect();
-        waiting.sort_by_cached_key(|key| {
-            let order = &self.orders[*key];
-            let (at, came) = self.urgency(now, order);
-            // Large results stay in the zone where they are read when something else can fill the call.
-            let far = order.order.zone != zone && !order.order.zone.is_empty();
-            (if far { at + RANK_STEP } else { at }, came)
-        });
-        let mut items = Vec::new();
-        for key in waiting {
-            let Some(order) = self.orders.get_mut(key) else {
-                continue;
-            };
-            for piece in 0..order.pieces.len() {
-                let full = items.len() as u32 >= self.spec.batch.max(1);
-                // An order that was begun is taken whole: its pieces read the same inputs.
-                let begun = items.last().is_some_and(|item: &PieceItem| item.order == key);
-                if full || (items.len() as u32 >= size && !begun) {
-                    return items;
-                }
-                if !matches!(order.pieces[piece], Piece::Waiting) || order.order.bytes > room {
-                    continue;
-                }
-                room -= order.order.bytes;
-                order.pieces[piece] = Piece::InCall;
-                order.waiting -= 1;
-                items.push(PieceItem {
-                    order: key,
-                    piece: piece as u32,
-                });
-            }
-        }
-        items
-    }
-
-    fn start_call(&mut self, now: Time, target: String, items: Vec<PieceItem>) -> PieceCall {
+    pub(super) fn start_call(&mut self, now: Time, target: String, items: Vec<PieceItem>) -> PieceCall {
         let slowness = self.targets.get(&target).map_or(1.0, |target| target.slowness);
         let expected = self.call_time(items.len() as u32).scale(slowness);
         let bytes = |item: &PieceItem| self.orders.get(item.order).map_or(0, |order| order.order.bytes);
--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -1,7 +1,8 @@
 //! What the control thread hands to the traffic thread for forwarded calls.
 
-use super::{Catalog, TargetTable};
+use super::{Catalog, TargetTable, handle_address};
 use crate::Time;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Another node as the traffic thread sees it.
@@ -24,6 +25,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Listed targets.
     pub targets: Arc<TargetTable>,
+    /// The zone of each listed target, by its address; see [`ForwardPlan::zones_of`].
+    pub zones: Arc<HashMap<String, String>>,
     /// Nodes that serve, this one included, in the order of their keys.
     pub members: Arc<Vec<MemberView>>,
     /// This node's key.
@@ -31,3 +34,23 @@
     /// Whether a planned stop is under way.
     pub stopping: bool,
 }
+
+impl ForwardPlan {
+    /// The zones of listed targets, by address. It is made once for each list, so that looking up the maker of a
+    /// result costs the same however many targets there are.
+    pub fn zones_of(targets: &TargetTable) -> HashMap<String, String> {
+        let zone = |entry: &super::TargetEntry| (entry.address.clone(), entry.zone.clone());
+        targets.values().map(zone).collect()
+    }
+
+    /// The zone of the target that made a result.
+    pub fn maker_zone(&self, handle: &str) -> Option<&str> {
+        self.zones.get(handle_address(handle)).map(String::as_str)
+    }
+
+    /// How many of some results were made outside `zone`.
+    pub fn made_elsewhere(&self, handles: &[String], zone: &str) -> usize {
+        let far = |handle: &&String| self.maker_zone(handle).is_some_and(|maker| maker != zone);
+        handles.iter().filter(far).count()
+    }
+}
--- a/crates/barleyspool_core/src/forward/source_store.rs
+++ b/crates/barleyspool_core/src/forward/source_store.rs
@@ -1,7 +1,8 @@
 //! What the platform last said of configuration and targets, from it or by way of other nodes.
 
-use super::{Catalog, CatalogDocument, CatalogFault, TargetEntry, TargetTable};
+use super::{Catalog, CatalogDocument, CatalogFault, ForwardPlan, TargetEntry, TargetTable};
 use crate::Revision;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// What became of a configuration that was offered.
@@ -59,6 +60,8 @@
 pub struct TargetStore {
     /// The list.
     pub table: Arc<TargetTable>,
+    /// The zones of its targets, by address.
+    pub zones: Arc<HashMap<String, String>>,
     /// The platform's revision that it stands at.
     pub at: Revision,
 }
@@ -73,6 +76,7 @@
         let changed = *self.table != table;
         if changed {
             self.table = Arc::new(table);
+            self.zones = Arc::new(ForwardPlan::zones_of(&self.table));
         }
         changed
     }
@@ -88,6 +92,9 @@
                 TargetChange::Gone(id) => table.remove(&id).is_some(),
             };
         }
+        if changed {
+            self.zones = Arc::new(ForwardPlan::zones_of(&self.table));
+        }
         changed
     }
 }
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -2,7 +2,7 @@
 
 use super::{PrefixMemory, TargetEntry};
 use crate::chart::Chart;
-use crate::{Span, TargetEvent, TargetPhase, Time};
+use crate::{Span, TargetEvent, TargetPhase, Time, rendezvous};
 
 slotmap::new_key_type! {
     /// A target that the forwarder knows.
@@ -29,6 +29,8 @@
 pub struct TargetRecord {
     /// What the list says.
     pub entry: TargetEntry,
+    /// Its id as a key for rendezvous hashing.
+    pub hash: u128,
     /// Whether it is used.
     pub phase: TargetPhase,
     /// Calls of this node that it is working on.
@@ -52,8 +54,9 @@
 impl TargetRecord {
     /// A target that has just come onto the list.
     pub fn new(entry: TargetEntry) -> Self {
-        let mut record = Self {
-            entry: TargetEntry::default(),
+        Self {
+            hash: rendezvous::text_key(&entry.id),
+            entry,
             phase: TargetPhase::Live,
             in_flight: 0,
             unread_tokens: 0.0,
@@ -65,9 +68,7 @@
             streak: 0,
             out_until: Time(0),
             out_for: OUT_FIRST,
-        };
-        record.entry = entry;
-        record
+        }
     }
 
     /// Whether it may get a call now. A quarantine that is over becomes a trial, one call at a time.
--- a/crates/barleyspool_core/tests/forward_choice.rs
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -4,7 +4,7 @@
 
 use barleyspool_core::{
     Choose, Chosen, ForwardPlan, ForwardSettings, Forwarder, Need, SendEnd, Shard, TargetEntry, TargetTable,
-    Time,
+    Time, rendezvous,
 };
 use std::sync::Arc;
 
@@ -231,7 +231,7 @@
     for place in 0..60 {
         let id = format!("i-{place}");
         let holders = (0..of)
-            .filter(|number| Shard { number: *number, of }.holds(&id))
+            .filter(|number| Shard { number: *number, of }.holds(rendezvous::text_key(&id)))
             .count();
         assert_eq!(holders, 1, "{id}");
     }
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -317,6 +317,42 @@
     assert_eq!(queue.take_unneeded().len(), 1);
 }
 
+#[test]
+fn pieces_wait_for_a_target_in_the_zone_of_their_inputs_while_there_is_time() {
+    let mut far = table(2);
+    for entry in far.values_mut().filter(|entry| entry.id == "i-1") {
+        entry.zone = "y".to_owned();
+    }
+    let mut queue = PieceQueue::new(spec());
+    queue.take_plan(&spec(), &far, |_| true);
+    let near = |request: &str| PieceOrder {
+        zone: "z".to_owned(),
+        ..order(request, BATCH)
+    };
+    submit(&mut queue, at(0), near("a"));
+    submit(&mut queue, at(0), near("b"));
+    let asked = |calls: Vec<PieceCall>| -> Vec<String> { calls.into_iter().map(|call| call.id).collect() };
+    assert_eq!(
+        asked(queue.next_calls(at(0))),
+        ["i-0"],
+        "the other target would fetch from another zone"
+    );
+    // Not when the time is short: a late answer is worth less than what crosses zones costs.
+    assert_eq!(asked(queue.next_calls(at(600))), ["i-1"]);
+    // Nor when no target of the zone can be used.
+    submit(
+        &mut queue,
+        at(700),
+        PieceOrder {
+            zone: "x".to_owned(),
+            due: at(9_000),
+            ..order("c", BATCH)
+        },
+    );
+    queue.take_plan(&spec(), &table(3), |_| true);
+    assert_eq!(asked(queue.next_calls(at(700))), ["i-2"]);
+}
+
 #[test]
 fn inputs_are_kept_for_as_long_as_their_reader_needs_to_fetch_them() {
     let short = spec().fetch_time(1_000);
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -264,6 +264,7 @@
         ForwardPlan {
             made: self.now(),
             catalog: self.catalogs.borrow().catalog.clone(),
+            zones: Arc::clone(&self.targets.borrow().zones),
             targets: Arc::clone(&self.targets.borrow().table),
             members: Arc::new(members),
             me: rendezvous::text_key(&self.shared.settings.members.to_string()) as u64,
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -165,6 +165,8 @@
         made: usize,
         /// Pieces that still wait for the pool.
         waiting: u32,
+        /// Kilobytes of inputs that were fetched from another zone.
+        far_kb: u64,
         /// What became of the call.
         end: &'a str,
         /// Milliseconds that it took.
@@ -182,6 +184,8 @@
         send: u32,
         /// Milliseconds that the target may take.
         left_ms: u64,
+        /// Kilobytes of inputs that it fetches from another zone.
+        far_kb: u64,
         /// Why it was sent again; empty the first time.
         retry: &'a str,
     },
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -6,12 +6,12 @@
 use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::final_send;
+use super::placement;
 use super::results::Results;
 use super::stages;
 use crate::failure::CallFailure;
 use barleyspool_core::{
     CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time,
-    handle_address,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -287,14 +287,17 @@
 
     /// The zone in which it will most likely be answered; its stages' results should lie there.
     pub fn zone(&self) -> String {
-        let need = self.need();
+        let mut need = self.need();
+        if need.engine_memory.is_some() {
+            need.placing = Some(placement::shard(self, &need));
+        }
         let mut forwarder = self.traffic.forwarder.borrow_mut();
         let likely = forwarder.likely_zone(self.traffic.now(), &need);
         likely.unwrap_or_else(|| self.traffic.shared.settings.zone.clone())
     }
 
     /// The size of what the call itself reads of its stages, in bytes.
-    fn input_bytes(&self) -> u64 {
+    pub fn input_bytes(&self) -> u64 {
         let stages = &self.route.stages;
         let is_last = |stage: usize| !stages.iter().any(|other| other.needs.contains(&stage));
         let last = (0..stages.len()).filter(|stage| is_last(*stage));
@@ -334,10 +337,8 @@
         let plan = self.traffic.plan();
         let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         for handle in handles {
-            let address = handle_address(handle);
-            let maker = plan.targets.values().find(|entry| entry.address == address);
-            if let Some(maker) = maker {
-                *zones.entry(&maker.zone).or_default() += 1;
+            if let Some(zone) = plan.maker_zone(handle) {
+                *zones.entry(zone).or_default() += 1;
             }
         }
         let most = zones.into_iter().max_by_key(|(_, count)| *count);
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -126,7 +126,7 @@
     loop {
         let chosen = choose(call).await?;
         let mut send = SendGuard::begin(call, chosen);
-        tell_sent(call, &send.chosen, retry);
+        tell_sent(call, &send.chosen, &inputs, retry);
         let sent = {
             let sent = send_once(call, &send.chosen, &inputs, call.head.resume_after);
             let wait = call.fetch_time().filter(|_| !inputs.is_empty());
@@ -264,8 +264,13 @@
 }
 
 /// Tells the log where a call goes.
-pub fn tell_sent(call: &Call, chosen: &Chosen, retry: &str) {
+pub fn tell_sent(call: &Call, chosen: &Chosen, inputs: &[String], retry: &str) {
     let now = call.traffic.now();
+    let plan = call.traffic.plan();
+    let far = plan
+        .targets
+        .get(&chosen.id)
+        .map_or(0, |target| plan.made_elsewhere(inputs, &target.zone) as u64);
     let history = call.history.get();
     let line = Line::Sent {
         id: &call.head.id,
@@ -273,6 +278,7 @@
         target: &chosen.id,
         send: history.sends + history.unreached + 1,
         left_ms: call.deadline.since(now).as_millis(),
+        far_kb: call.input_bytes() * far / inputs.len().max(1) as u64 / 1000,
         retry,
     };
     if retry.is_empty() {
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -110,19 +110,28 @@
     Some((chosen, placement))
 }
 
-fn request(call: &Call) -> Option<PlaceRequest> {
-    let need = call.need();
-    let shards = shards(&call.traffic, &need.service);
+/// The shard of its engines at which a call is placed: calls with the same shared prefix meet at one.
+pub fn shard(call: &Call, need: &Need) -> Shard {
+    let of = shards(&call.traffic, &need.service);
     let spread = match need.prefix {
         0 => rendezvous::text_key(&call.head.id) as u64,
         prefix => prefix,
     };
+    Shard {
+        number: (spread % u64::from(of)) as u32,
+        of,
+    }
+}
+
+fn request(call: &Call) -> Option<PlaceRequest> {
+    let need = call.need();
+    let shard = shard(call, &need);
     let forwarder = call.traffic.forwarder.borrow();
     let avoid = need.avoid.iter().filter_map(|key| forwarder.target(*key));
     Some(PlaceRequest {
         // Another send of the same call is another placement.
         call: format!("{}/{}", call.head.id, need.avoid.len()),
-        shard: (spread % u64::from(shards)) as u32,
+        shard: shard.number,
         engine_memory: need.engine_memory?,
         avoid: avoid.map(|record| record.entry.id.clone()).collect(),
         service: need.service,
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -136,6 +136,7 @@
 
 async fn run_call(traffic: Rc<Traffic>, pool: Rc<Pool>, call: PieceCall) {
     let (key, target, pieces) = (call.call, call.id.clone(), call.items.len());
+    let far_kb = far_bytes(&traffic, &pool, &call) / 1000;
     let began = traffic.now();
     let outcome = match tokio::time::timeout(CALL_TIMEOUT, send_call(&traffic, &pool, call)).await {
         Ok(outcome) => outcome,
@@ -147,6 +148,7 @@
         pieces,
         made: made(&outcome),
         waiting: pool.queue.borrow().waiting(),
+        far_kb,
         end: outcome_name(&outcome),
         took_ms: now.since(began).as_millis(),
     };
@@ -158,6 +160,22 @@
     end_call(&traffic, &pool, key, outcome);
 }
 
+/// The bytes of inputs that a call's target has to fetch from another zone; each piece fetches its own.
+fn far_bytes(traffic: &Traffic, pool: &Pool, call: &PieceCall) -> u64 {
+    let plan = traffic.plan();
+    let Some(zone) = plan.targets.get(&call.id).map(|target| &target.zone) else {
+        return 0;
+    };
+    let queue = pool.queue.borrow();
+    let orders = call.items.iter().filter_map(|item| queue.order(item.order));
+    orders
+        .map(|order| {
+            let far = plan.made_elsewhere(&order.inputs, zone) as u64;
+            order.input_bytes * far / order.inputs.len().max(1) as u64
+        })
+        .sum()
+}
+
 fn made(outcome: &CallOutcome) -> usize {
     match outcome {
         CallOutcome::Done(pieces) => pieces
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -140,16 +140,22 @@
         due: (call.arrived + call.route.aim) - later,
         rank: call.rank,
         bytes: spec.bytes,
+        input_bytes: piece_input_bytes(call, ready),
         zone: zone(call, ready),
     }
 }
 
+/// The size of all inputs of one piece. Each piece of a stage fetches all of them.
+fn piece_input_bytes(call: &Call, ready: &ReadyStage) -> u64 {
+    let spec = &call.route.stages[ready.stage];
+    spec.needs.iter().map(|needed| call.result_bytes(*needed)).sum()
+}
+
 /// The zone in which pieces should be made: where their inputs lie, or where the call that reads them will run.
 /// Empty when so little is moved that it does not matter.
 fn zone(call: &Call, ready: &ReadyStage) -> String {
     let stages = &call.route.stages;
-    let spec = &stages[ready.stage];
-    let input_bytes: u64 = spec.needs.iter().map(|needed| call.result_bytes(*needed)).sum();
+    let input_bytes = piece_input_bytes(call, ready) * u64::from(ready.pieces);
     let read_by_call = !stages.iter().any(|other| other.needs.contains(&ready.stage));
     let output_bytes = if read_by_call {
         call.result_bytes(ready.stage)
