A watch that hears nothing any more is noticed by what others know; lapsed targets have two seconds to come back

Each message between nodes tells at which revision the sender's list of targets stands; who is behind for 400 ms asks another.

--- a/crates/barleyspool_core/src/forward/feed_cursor.rs
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -4,8 +4,8 @@
 
 /// The first wait after an error.
 const RETRY_FIRST: Span = Span::from_millis(60);
-/// The longest.
-const RETRY_LONGEST: Span = Span::from_millis(600);
+/// The longest. Each call is priced, also one that fails, and other nodes tell what the platform does not.
+const RETRY_LONGEST: Span = Span::from_millis(1500);
 
 /// What to ask of a feed next.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
--- a/crates/barleyspool_core/src/forward/piece_pick.rs
+++ b/crates/barleyspool_core/src/forward/piece_pick.rs
@@ -4,6 +4,7 @@
 use super::pool_target::TOO_SLOW;
 use super::{OrderKey, PieceCall, PieceItem, PieceQueue, PoolTarget};
 use crate::{Span, Time};
+use std::collections::BTreeMap;
 
 /// A slow target is tried again after this time.
 const SLOW_TRIAL: Span = Span::from_millis(1500);
@@ -23,19 +24,32 @@
     slowness: u64,
 }
 
+/// What waits for a zone, and what may work there.
+#[derive(Clone, Debug, Default)]
+struct ZoneLoad {
+    /// Pieces that want the zone.
+    waiting: u32,
+    /// Usable targets of it, busy ones too.
+    targets: u32,
+}
+
+/// The load of each zone of a pool.
+type ZoneLoads = BTreeMap<String, ZoneLoad>;
+
 impl PieceQueue {
     pub(super) fn next_call(&mut self, now: Time) -> Option<PieceCall> {
         let waiting = self.waiting();
         if waiting == 0 {
             return None;
         }
+        let loads = self.zone_loads(now);
         let idle = self.idle_targets(now, waiting);
         for target in &idle {
             let zone_peers = idle.iter().filter(|other| other.zone == target.zone).count();
-            let share = self.share(now, &target.zone, idle.len(), zone_peers);
+            let share = self.share(now, &loads, &target.zone, idle.len(), zone_peers);
             let least = f64::from(self.spec.batch) * LEAST_SHARE;
             let size = (share.max(least).ceil() as u32).clamp(1, self.spec.batch.max(1));
-            let items = self.take_items(now, target, size);
+            let items = self.take_items(now, &loads, target, size);
             if !items.is_empty() {
                 return Some(self.start_call(now, target.id.clone(), items));
             }
@@ -83,12 +97,12 @@
 
     /// An idle target's share of what waits: pieces that want its zone are shared with the idle targets there,
     /// all others with all idle targets.
-    fn share(&self, now: Time, zone: &str, idle: usize, zone_peers: usize) -> f64 {
+    fn share(&self, now: Time, loads: &ZoneLoads, zone: &str, idle: usize, zone_peers: usize) -> f64 {
         let (mut near, mut free) = (0, 0);
         for order in self.orders.values() {
             if order.order.zone == zone {
                 near += order.waiting;
-            } else if self.may_go_far(now, order) {
+            } else if self.may_go_far(now, loads, order) {
                 free += order.waiting;
             }
         }
@@ -98,15 +112,27 @@
     // ------------------------------------------------------------------------
     // Pieces
 
+    fn zone_loads(&self, now: Time) -> ZoneLoads {
+        let mut loads = ZoneLoads::new();
+        for order in self.orders.values().filter(|order| order.waiting > 0) {
+            loads.entry(order.order.zone.clone()).or_default().waiting += order.waiting;
+        }
+        for target in self.targets.values().filter(|target| target.usable(now)) {
+            loads.entry(target.entry.zone.clone()).or_default().targets += 1;
+        }
+        loads
+    }
+
     /// Whether an order may be made outside the zone that it wants. Its results or inputs would cross zones, and
-    /// inputs once for each piece, so it waits for a target of its zone for as long as it has the time.
-    fn may_go_far(&self, now: Time, order: &Order) -> bool {
+    /// inputs once for each piece, so it waits for a target of its zone for as long as it has the time. When
+    /// more waits for the zone than its targets take in their next calls, idle ones elsewhere help.
+    fn may_go_far(&self, now: Time, loads: &ZoneLoads, order: &Order) -> bool {
         let zone = &order.order.zone;
         if zone.is_empty() || now + self.call_time(self.spec.batch).scale(2.0) > order.order.due {
             return true;
         }
-        let near = |target: &PoolTarget| target.usable(now) && target.entry.zone == *zone;
-        !self.targets.values().any(near)
+        let near = loads.get(zone).cloned().unwrap_or_default();
+        near.waiting > near.targets * self.spec.batch.max(1)
     }
 
     /// When an order is to be taken; the lower, the sooner.
@@ -118,12 +144,12 @@
     }
 
     /// The orders with pieces that `target` may make now, the most urgent first.
-    fn eligible(&self, now: Time, target: &Idle) -> Vec<OrderKey> {
+    fn eligible(&self, now: Time, loads: &ZoneLoads, target: &Idle) -> Vec<OrderKey> {
         let near = |order: &Order| order.order.zone == target.zone || order.order.zone.is_empty();
         let mut waiting: Vec<OrderKey> = self
             .orders
             .iter()
-            .filter(|(_, order)| order.waiting > 0 && (near(order) || self.may_go_far(now, order)))
+            .filter(|(_, order)| order.waiting > 0 && (near(order) || self.may_go_far(now, loads, order)))
             .map(|(key, _)| key)
             .collect();
         waiting.sort_by_cached_key(|key| {
@@ -135,11 +161,11 @@
         waiting
     }
 
-    fn take_items(&mut self, now: Time, target: &Idle, size: u32) -> Vec<PieceItem> {
+    fn take_items(&mut self, now: Time, loads: &ZoneLoads, target: &Idle, size: u32) -> Vec<PieceItem> {
         let room = |target: &PoolTarget| target.free_room(now, self.spec.room);
         let mut room = self.targets.get(&target.id).map_or(0, room);
         let mut items = Vec::new();
-        for key in self.eligible(now, target) {
+        for key in self.eligible(now, loads, target) {
             let Some(order) = self.orders.get_mut(key) else {
                 continue;
             };
--- a/crates/barleyspool_core/src/membership/member.rs
+++ b/crates/barleyspool_core/src/membership/member.rs
@@ -47,6 +47,8 @@
     pub health: MemberHealth,
     /// When its health last changed.
     pub since: Time,
+    /// The revision at which its list of targets stood when it last spoke.
+    pub list: Revision,
     /// When something was last heard from itself.
     pub heard: Time,
 }
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -1,7 +1,7 @@
 //! What nodes say to each other about who is there.
 
 use super::{MemberFacts, MemberHealth};
-use crate::Incarnation;
+use crate::{Incarnation, Revision};
 use serde::{Deserialize, Serialize};
 
 /// What one node knows of another, passed on.
@@ -48,6 +48,9 @@
 pub struct MemberMessage {
     /// What it wants.
     pub question: MemberQuestion,
+    /// The revision at which the sender's list of targets stands. Each node tells only its own, with every message:
+    /// passed on by others it would crowd out news of nodes.
+    pub list: Revision,
     /// News, the sender's own first.
     pub news: Vec<MemberNews>,
 }
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -68,6 +68,8 @@
         /// The version of its configuration.
         version: Revision,
     },
+    /// The list of targets stands at another revision.
+    List(Revision),
     /// A planned stop begins.
     Leave,
     /// New seeds are in the settings.
@@ -114,6 +116,7 @@
     pub(super) settings: MembershipSettings,
     pub(super) members: BTreeMap<String, Member>,
     pub(super) me: MemberNews,
+    pub(super) list: Revision,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
     pub(super) to_tell: HashMap<String, u32>,
@@ -138,6 +141,7 @@
         Self {
             random: SmallRng::seed_from_u64(settings.seed),
             me,
+            list: Revision(0),
             members: BTreeMap::new(),
             probes: HashMap::new(),
             turn: VecDeque::new(),
@@ -159,6 +163,7 @@
             MemberEvent::Message { from, message } => self.message(now, &from, message),
             MemberEvent::Tick => {}
             MemberEvent::Facts { serving, version } => self.facts(serving, version),
+            MemberEvent::List(revision) => self.list = revision,
             MemberEvent::Leave => self.leave(),
             MemberEvent::Seeds(seeds) => self.settings.seeds = seeds,
         }
@@ -257,6 +262,7 @@
         }
         if let Some(member) = self.members.get_mut(from) {
             member.heard = now;
+            member.list = message.list;
         }
         match message.question {
             MemberQuestion::Probe { number } => {
@@ -298,6 +304,7 @@
                 to: to.to_owned(),
                 message: MemberMessage {
                     question: MemberQuestion::News,
+                    list: self.list,
                     news,
                 },
             });
@@ -369,6 +376,7 @@
             incarnation: news.incarnation,
             change: news.change,
             health: news.health,
+            list: Revision(0),
             since: now,
             heard: now,
         };
@@ -417,7 +425,11 @@
         news.extend(self.news_to_tell());
         self.actions.push(MemberAction::Send {
             to,
-            message: MemberMessage { question, news },
+            message: MemberMessage {
+                question,
+                list: self.list,
+                news,
+            },
         });
     }
 
--- a/crates/barleyspool_core/tests/forward_catalog.rs
+++ b/crates/barleyspool_core/tests/forward_catalog.rs
@@ -4,7 +4,7 @@
 
 use barleyspool_core::{
     Catalog, CatalogDocument, CatalogFault, CatalogStore, FeedCursor, FeedStep, ForwardService, KeyHolder,
-    Offered, PoolSpec, Revision, Route, Share, StageSpec, TargetChange, TargetEntry, TargetStore,
+    Offered, PoolSpec, Revision, Route, Share, StageSpec, TargetChange, TargetEntry, TargetStore, Time,
 };
 
 fn route(name: &str, host: &str, path: &str) -> Route {
@@ -133,21 +133,51 @@
             .collect()
     };
     let mut store = TargetStore::default();
-    assert!(store.replace(Revision(7), table(&[entry("a", false)])));
-    assert!(store.apply(Revision(9), vec![TargetChange::Put(entry("a", true))]));
+    assert!(store.replace(Time(0), Revision(7), table(&[entry("a", false)])));
+    assert!(store.apply(Time(0), Revision(9), vec![TargetChange::Put(entry("a", true))]));
     assert!(
-        !store.replace(Revision(8), table(&[entry("a", false)])),
+        !store.replace(Time(0), Revision(8), table(&[entry("a", false)])),
         "a peer was behind"
     );
     assert!(store.table["a"].leaving);
     assert!(
-        !store.apply(Revision(10), vec![TargetChange::Put(entry("a", true))]),
+        !store.apply(Time(0), Revision(10), vec![TargetChange::Put(entry("a", true))]),
         "nothing new"
     );
-    assert!(store.apply(Revision(11), vec![TargetChange::Gone("a".to_owned())]));
+    assert!(store.apply(Time(0), Revision(11), vec![TargetChange::Gone("a".to_owned())]));
     assert!(store.table.is_empty());
 }
 
+/// The store drops entries of targets that cannot write to it while it is away; those that live come back.
+#[test]
+fn entries_that_lapsed_while_the_source_was_away_stay_until_they_had_time_to_come_back() {
+    let entry = |id: &str| TargetEntry {
+        id: id.to_owned(),
+        ..TargetEntry::default()
+    };
+    let table = |ids: &[&str]| ids.iter().map(|id| ((*id).to_owned(), entry(id))).collect();
+    let ids = |store: &TargetStore| store.table.keys().cloned().collect::<Vec<_>>();
+    let at = Time::from_millis;
+    let mut store = TargetStore::default();
+    store.replace(at(0), Revision(1), table(&["a", "b", "c", "d"]));
+    store.source_back(at(10_000));
+    assert!(
+        !store.replace(at(10_000), Revision(5), table(&["d"])),
+        "three lapsed"
+    );
+    assert_eq!(ids(&store), ["a", "b", "c", "d"]);
+    store.apply(at(10_500), Revision(6), vec![TargetChange::Put(entry("a"))]);
+    store.apply(at(10_600), Revision(7), vec![TargetChange::Gone("d".to_owned())]);
+    assert!(!store.expire(at(11_900)));
+    assert_eq!(ids(&store), ["a", "b", "c", "d"]);
+    assert!(store.expire(at(12_000)), "those that did not come back are gone");
+    assert_eq!(ids(&store), ["a"]);
+    assert!(
+        store.apply(at(12_100), Revision(8), vec![TargetChange::Gone("a".to_owned())]),
+        "in calm times what is gone goes at once"
+    );
+}
+
 /// A node that watched on after its watch was cut, when history had been dropped, kept an old version for
 /// seconds: the new watch heard nothing of what the old one had missed.
 #[test]
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -325,32 +325,62 @@
     }
     let mut queue = PieceQueue::new(spec());
     queue.take_plan(&spec(), &far, |_| true);
+    let asked = |calls: &[PieceCall]| -> Vec<String> { calls.iter().map(|call| call.id.clone()).collect() };
     let near = |request: &str| PieceOrder {
         zone: "z".to_owned(),
         ..order(request, BATCH)
     };
     submit(&mut queue, at(0), near("a"));
+    let first = queue.next_calls(at(0));
+    assert_eq!(asked(&first), ["i-0"]);
     submit(&mut queue, at(0), near("b"));
-    let asked = |calls: Vec<PieceCall>| -> Vec<String> { calls.into_iter().map(|call| call.id).collect() };
+    let nothing: [&str; 0] = [];
     assert_eq!(
-        asked(queue.next_calls(at(0))),
-        ["i-0"],
-        "the other target would fetch from another zone"
+        asked(&queue.next_calls(at(1))),
+        nothing,
+        "its inputs would cross zones"
     );
-    // Not when the time is short: a late answer is worth less than what crosses zones costs.
-    assert_eq!(asked(queue.next_calls(at(600))), ["i-1"]);
-    // Nor when no target of the zone can be used.
-    submit(
-        &mut queue,
-        at(700),
-        PieceOrder {
-            zone: "x".to_owned(),
-            due: at(9_000),
-            ..order("c", BATCH)
-        },
+    // More waits than the zone takes with its next call: the other target helps.
+    submit(&mut queue, at(1), near("c"));
+    assert_eq!(asked(&queue.next_calls(at(1))), ["i-1"]);
+    queue.call_ended(at(200), first[0].call, made(&first[0]));
+    assert_eq!(asked(&queue.next_calls(at(200))), ["i-0"]);
+}
+
+#[test]
+fn pieces_go_to_another_zone_when_time_is_short_or_their_own_has_no_target() {
+    let mut far = table(1);
+    for entry in far.values_mut() {
+        entry.zone = "y".to_owned();
+    }
+    let mut queue = PieceQueue::new(spec());
+    queue.take_plan(&spec(), &far, |_| true);
+    let due = |request: &str, due: u64| PieceOrder {
+        zone: "x".to_owned(),
+        due: at(due),
+        ..order(request, BATCH)
+    };
+    submit(&mut queue, at(0), due("a", 9_000));
+    let first = queue.next_calls(at(0));
+    assert_eq!(first.len(), 1, "no target of its zone can be used");
+    queue.call_ended(at(200), first[0].call, made(&first[0]));
+    let mut both = table(2);
+    for (entry, zone) in both.values_mut().zip(["x", "y"]) {
+        entry.zone = zone.to_owned();
+    }
+    queue.take_plan(&spec(), &both, |_| true);
+    submit(&mut queue, at(200), due("b", 9_000));
+    assert_eq!(queue.next_calls(at(200)).len(), 1);
+    submit(&mut queue, at(200), due("c", 1_000));
+    assert!(
+        queue.next_calls(at(200)).is_empty(),
+        "its own zone's target is busy, and there is time"
+    );
+    assert_eq!(
+        queue.next_calls(at(600)).len(),
+        1,
+        "a late answer is worth less than what crosses zones costs"
     );
-    queue.take_plan(&spec(), &table(3), |_| true);
-    assert_eq!(asked(queue.next_calls(at(700))), ["i-2"]);
 }
 
 #[test]
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -72,6 +72,7 @@
         from = page.next;
         if from.is_none() {
             if feed == Feed::Targets {
+                state.feed_back(feed);
                 state.replace_targets(at, table, "source");
             }
             return Ok(at);
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -105,23 +105,39 @@
 
 /// Asks another node whenever the source does not answer, or another node has a newer configuration.
 pub async fn follow_peers(state: Rc<ControlState>) {
+    let mut told = Revision(0);
     loop {
         tokio::time::sleep(ASK_EVERY).await;
-        if let Some(peer) = peer_to_ask(&state) {
+        state.expire_targets();
+        if let Some(peer) = peer_to_ask(&state, told) {
             ask(&state, &peer).await;
         }
+        told = newest_list(&state);
     }
 }
 
-/// The relay address of the node to ask now, if any.
-fn peer_to_ask(state: &ControlState) -> Option<SocketAddr> {
+/// The newest revision of the list of targets that another node told of.
+fn newest_list(state: &ControlState) -> Revision {
+    let membership = state.membership.borrow();
+    let lists = membership.members().map(|member| member.list);
+    lists.max().unwrap_or_default()
+}
+
+/// The relay address of the node to ask now, if any. `told` is the newest list that others told of a while ago:
+/// a node that still has an older one has a watch that hears nothing any more.
+fn peer_to_ask(state: &ControlState, told: Revision) -> Option<SocketAddr> {
     let version = state.catalogs.borrow().version();
+    let list = state.targets.borrow().at;
+    let behind = list < told;
     let lost = state.source_lost();
     let membership = state.membership.borrow();
     let candidates = membership
         .members()
         .filter(|member| matches!(member.health, MemberHealth::Alive | MemberHealth::Leaving))
-        .filter(|member| member.facts.version > version || (lost && member.facts.version > Revision(0)));
+        .filter(|member| {
+            let newer = member.facts.version > version || (behind && member.list > list);
+            newer || (lost && member.facts.version > Revision(0))
+        });
     let chosen = candidates.choose(&mut rand::rng())?;
     let address: SocketAddr = chosen.facts.address.parse().ok()?;
     // All nodes use the same ports.
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -123,7 +123,8 @@
     /// Takes a whole list of targets.
     pub fn replace_targets(&self, at: Revision, table: TargetTable, from: &str) {
         let first = !self.targets_known.replace(true);
-        let changed = self.targets.borrow_mut().replace(at, table);
+        let changed = self.targets.borrow_mut().replace(self.now(), at, table);
+        self.list_stands_at();
         if changed || first {
             self.targets_changed(from);
         }
@@ -140,14 +141,27 @@
                 SourceChange::Malformed { key, cause } => self.skipped(&key, &cause),
             }
         }
-        if target_changes.is_empty() {
-            return;
-        }
-        if self.targets.borrow_mut().apply(at, target_changes) {
+        let mut targets = self.targets.borrow_mut();
+        let changed = targets.apply(self.now(), at, target_changes);
+        drop(targets);
+        self.list_stands_at();
+        if changed {
             self.targets_changed("source");
         }
     }
 
+    /// Takes entries as gone that lapsed while the source was away and did not come back.
+    pub fn expire_targets(&self) {
+        if self.targets.borrow_mut().expire(self.now()) {
+            self.targets_changed("lapsed");
+        }
+    }
+
+    fn list_stands_at(&self) {
+        let at = self.targets.borrow().at;
+        self.step_members(MemberEvent::List(at));
+    }
+
     /// An item of the source cannot be read.
     pub fn skipped(&self, key: &str, cause: &str) {
         self.log.write(self.now(), &Line::ItemSkipped { key, cause });
@@ -179,7 +193,7 @@
         if before.as_ref().map(|(_, cause)| cause.as_str()) == cause {
             return;
         }
-        let since = before.map_or(now, |(since, _)| since);
+        let since = before.as_ref().map_or(now, |(since, _)| *since);
         self.failing.borrow_mut()[place] = cause.map(|cause| (since, cause.to_owned()));
         let line = Line::Source {
             feed: feed_name(feed),
@@ -189,6 +203,17 @@
         self.log.write(now, &line);
     }
 
+    /// A feed is about to be taken after it failed: what is missing in it now may only have lapsed.
+    pub fn feed_back(&self, feed: Feed) {
+        let since = self.failing.borrow()[feed as usize]
+            .as_ref()
+            .map(|(since, _)| *since);
+        let away = since.is_some_and(|since| self.now().since(since) > SOURCE_LOST);
+        if feed == Feed::Targets && away {
+            self.targets.borrow_mut().source_back(self.now());
+        }
+    }
+
     /// Whether other nodes should be asked for what the source does not tell.
     pub fn source_lost(&self) -> bool {
         let now = self.now();
