Orders of which nothing was begun go to the new owner of their pool

When a node hears that another one owns a pool, it ends the orders that it has not begun as moved, and their nodes ask again.

--- a/crates/barleyspool_core/src/forward/piece_order.rs
+++ b/crates/barleyspool_core/src/forward/piece_order.rs
@@ -77,6 +77,8 @@
     InputsGone,
     /// It cannot be made in time; when to come back.
     TooLate(Span),
+    /// Another node owns the pool now; nothing of the order was begun here.
+    Moved,
     /// Pieces failed too often.
     Failed,
 }
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -140,6 +140,21 @@
         }
     }
 
+    /// Another node owns the pool now: orders of which nothing was begun go there. Two owners make small calls
+    /// to the same targets, which hold a fraction of what they hold with full ones.
+    pub fn hand_over(&mut self) {
+        let untouched = |order: &Order| order.waiting as usize == order.pieces.len();
+        let keys: Vec<OrderKey> = self
+            .orders
+            .iter()
+            .filter(|(_, order)| untouched(order))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.end_order(key, OrderEnd::Moved);
+        }
+    }
+
     /// What an order asks for.
     pub fn order(&self, key: OrderKey) -> Option<&PieceOrder> {
         self.orders.get(key).map(|order| &order.order)
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -383,6 +383,20 @@
     );
 }
 
+/// After a restart of all nodes orders stayed for seconds with nodes that had owned the pool for a moment.
+#[test]
+fn orders_of_which_nothing_was_begun_go_to_the_new_owner() {
+    let mut queue = queue(1);
+    let begun = submit(&mut queue, at(0), order("a", BATCH));
+    let calls = queue.next_calls(at(0));
+    let waiting = submit(&mut queue, at(10), order("b", 2));
+    queue.hand_over();
+    assert_eq!(queue.take_ended(), [(waiting, OrderEnd::Moved)]);
+    queue.call_ended(at(200), calls[0].call, made(&calls[0]));
+    let ended = queue.take_ended();
+    assert!(matches!(&ended[..], [(key, OrderEnd::Made(_))] if *key == begun));
+}
+
 #[test]
 fn inputs_are_kept_for_as_long_as_their_reader_needs_to_fetch_them() {
     let short = spec().fetch_time(1_000);
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -20,7 +20,7 @@
 use crate::shared::Shared;
 use barleyspool_core::{Counter, Counters, ForwardPlan, Forwarder, Time};
 use connections::Connections;
-use peers::Peers;
+use peers::{Owner, Peers};
 use placement::Placements;
 use pools::Pools;
 use std::cell::{Cell, RefCell};
@@ -84,6 +84,11 @@
         self.forwarder.borrow_mut().take_plan(&plan);
         self.pools.take_plan(&plan);
         *self.plan.borrow_mut() = plan;
+        for (id, pool) in self.pools.all() {
+            if self.peers.owner(self, &id) != Owner::Me {
+                pool.hand_over();
+            }
+        }
     }
 }
 
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -89,6 +89,12 @@
         end
     }
 
+    /// Another node owns the pool now: what was not begun goes there.
+    pub fn hand_over(&self) {
+        self.queue.borrow_mut().hand_over();
+        self.tell_ended();
+    }
+
     /// Frees results that nobody needs any more.
     pub fn release(&self, handles: Vec<String>) {
         self.queue.borrow_mut().give_up(handles);
--- a/crates/barleyspool_gateway/src/traffic/pools.rs
+++ b/crates/barleyspool_gateway/src/traffic/pools.rs
@@ -51,6 +51,15 @@
         self.pools.borrow().get(id).cloned()
     }
 
+    /// The pools that were started here.
+    pub fn all(&self) -> Vec<(PoolId, Rc<Pool>)> {
+        let pools = self.pools.borrow();
+        pools
+            .iter()
+            .map(|(id, pool)| (id.clone(), Rc::clone(pool)))
+            .collect()
+    }
+
     /// Takes what a newer plan says of the pools.
     pub fn take_plan(&self, plan: &ForwardPlan) {
         for (id, pool) in self.pools.borrow().iter() {
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -9,11 +9,14 @@
 use barleyspool_core::{OrderEnd, PieceOrder, ReadyStage, Reason, Span, StageRun, rendezvous};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use std::time::Duration;
 
 /// Results smaller than this, in bytes, may be made in any zone.
 const ZONE_MATTERS: u64 = 100_000;
 /// Owners of a pool that are tried for one stage.
-const MOST_OWNERS: usize = 4;
+const MOST_OWNERS: usize = 6;
+/// How long to wait before the same owner is asked again after it said that another one owns the pool.
+const OWNER_WAIT: Duration = Duration::from_millis(50);
 
 struct StageEnd {
     stage: usize,
@@ -53,7 +56,7 @@
                 let failure = CallFailure::not_run(Reason::PoolBusy);
                 return Err(failure.after(come_back).at(&ended.pool.service, ""));
             }
-            OrderEnd::Failed => {
+            OrderEnd::Moved | OrderEnd::Failed => {
                 return Err(CallFailure::not_run(Reason::StepFailed).at(&ended.pool.service, ""));
             }
         }
@@ -81,8 +84,14 @@
     let order = order(call, &ready, depth);
     let mut end = OrderEnd::Failed;
     let mut owner = Owner::Me;
+    let mut before = None;
     for _ in 0..MOST_OWNERS {
         owner = traffic.peers.owner(traffic, &pool);
+        if before.as_ref() == Some(&owner) {
+            // It says that another node owns the pool, which this one will hear of too.
+            tokio::time::sleep(OWNER_WAIT).await;
+            owner = traffic.peers.owner(traffic, &pool);
+        }
         let made = match &owner {
             Owner::Me => match traffic.pools.get(traffic, &pool) {
                 Some(local) => Some(local.make(traffic, order.clone()).await),
@@ -90,9 +99,13 @@
             },
             Owner::Other(address) => traffic.peers.make(traffic, address, &pool, &order).await,
         };
-        if let Some(made) = made {
-            end = made;
-            break;
+        match made {
+            Some(OrderEnd::Moved) => before = Some(owner.clone()),
+            Some(made) => {
+                end = made;
+                break;
+            }
+            None => {}
         }
     }
     let now = traffic.now();
@@ -176,6 +189,7 @@
         OrderEnd::Made(_) => "made",
         OrderEnd::InputsGone => "inputs_gone",
         OrderEnd::TooLate(_) => "too_late",
+        OrderEnd::Moved => "moved",
         OrderEnd::Failed => "failed",
     }
 }
