A pool makes no calls before its owner knows the other nodes

A node is settled when the one it asks has told nothing new twice, or 0.8 s after its start; until then orders gather, and most go to the right owner.

--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -31,6 +31,9 @@
     pub members: Arc<Vec<MemberView>>,
     /// This node's key.
     pub me: u64,
+    /// Whether the nodes are likely to be all there are. A node that has just started knows a few at first and
+    /// would take pools for its own that others own.
+    pub settled: bool,
     /// Whether a planned stop is under way.
     pub stopping: bool,
 }
--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -13,7 +13,11 @@
 /// How long after its start a node asks.
 const YOUNG: Span = Span::from_secs(3);
 /// The time between two questions.
-const ASK_EVERY: Span = Span::from_millis(150);
+const ASK_EVERY: Span = Span::from_millis(120);
+/// Answers in a row without anything new after which a node takes what it knows for all there is.
+const QUIET_ANSWERS: u32 = 2;
+/// And after this time in any case.
+const SETTLE: Span = Span::from_millis(800);
 /// Whoever did not answer for this long is not asked again; somebody else is.
 const PATIENCE: Span = Span::from_millis(400);
 
@@ -29,6 +33,10 @@
     position: u64,
     /// When it last answered, or was first asked.
     heard: Time,
+    /// Whether the last question is still to be answered.
+    waiting: bool,
+    /// Answers in a row that told nothing new.
+    quiet: u32,
 }
 
 impl Membership {
@@ -38,6 +46,16 @@
         self.places
     }
 
+    /// Whether what this node knows of the others is likely to be all there is. Before that it should not act as
+    /// the only owner of anything.
+    pub fn settled(&self, now: Time) -> bool {
+        let Some(until) = self.catch_up.until else {
+            return false;
+        };
+        let alone = self.catch_up.partner.is_empty();
+        alone || self.catch_up.quiet >= QUIET_ANSWERS || now + YOUNG > until + SETTLE
+    }
+
     pub(super) fn catch_up(&mut self, now: Time) {
         let until = *self.catch_up.until.get_or_insert(now + YOUNG);
         if now > until || now < self.catch_up.next {
@@ -51,6 +69,7 @@
             self.catch_up.position = 0;
             self.catch_up.heard = now;
         }
+        self.catch_up.waiting = true;
         let (partner, after) = (self.catch_up.partner.clone(), self.catch_up.position);
         self.send(partner, MemberQuestion::Join { after });
     }
@@ -108,6 +127,10 @@
             return;
         }
         asking.heard = now;
+        if from == asking.position && std::mem::take(&mut asking.waiting) {
+            let quiet = upto == from && upto > 0;
+            asking.quiet = if quiet { asking.quiet + 1 } else { 0 };
+        }
         if from <= asking.position {
             asking.position = if from == 0 {
                 upto
--- a/crates/barleyspool_core/tests/membership.rs
+++ b/crates/barleyspool_core/tests/membership.rs
@@ -280,6 +280,39 @@
     }
 }
 
+#[test]
+fn a_node_is_settled_when_it_knows_all_or_nobody_answers() {
+    let names: Vec<String> = (0..60).map(|place| format!("m{place}")).collect();
+    let mut net = Net::new(0.02, 7);
+    for name in &names {
+        net.start(name, 1, &["m0", "m1", "m2"]);
+    }
+    let mut settled = BTreeSet::new();
+    for _ in 0..200 {
+        net.run(Span::from_millis(5));
+        for name in &names {
+            if net.nodes[name].settled(net.now) && settled.insert(name.clone()) {
+                let seen = net.seen(name).len();
+                assert!(seen >= 58, "{name} is settled and knows {seen} of 60");
+            }
+        }
+    }
+    assert_eq!(settled.len(), 60, "all are settled within a second");
+    let mut alone = Net::new(0.0, 1);
+    alone.start("a", 1, &["a"]);
+    assert!(
+        alone.nodes["a"].settled(alone.now),
+        "without other seeds there is nobody to wait for"
+    );
+    alone.start("b", 1, &["stale"]);
+    assert!(!alone.nodes["b"].settled(alone.now));
+    alone.run(Span::from_secs(1));
+    assert!(
+        alone.nodes["b"].settled(alone.now),
+        "it does not wait for ever for seeds that are down"
+    );
+}
+
 #[test]
 fn the_bytes_a_node_sends_do_not_grow_with_the_fleet() {
     let rate = |count: usize| {
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -35,6 +35,8 @@
     pub outbox_filled: Notify,
     /// Since when each feed has failed, and why it did last; `None` while it answers.
     failing: RefCell<[Option<(Time, String)>; 2]>,
+    /// Whether the nodes that are known are likely to be all there are.
+    settled: Cell<bool>,
     /// Whether a planned stop is under way.
     pub stopping: Cell<bool>,
 }
@@ -71,6 +73,7 @@
             outbox: RefCell::default(),
             outbox_filled: Notify::new(),
             failing: RefCell::default(),
+            settled: Cell::new(false),
             stopping: Cell::new(false),
         }
     }
@@ -229,10 +232,11 @@
     pub fn step_members(&self, event: MemberEvent) {
         let now = self.now();
         let actions = self.membership.borrow_mut().step(now, event);
-        if actions.is_empty() {
+        let settled = self.membership.borrow().settled(now);
+        let mut changed = self.settled.replace(settled) != settled;
+        if actions.is_empty() && !changed {
             return;
         }
-        let mut changed = false;
         for action in actions {
             match action {
                 MemberAction::Send { .. } => self.outbox.borrow_mut().push(action),
@@ -293,6 +297,7 @@
             targets: Arc::clone(&self.targets.borrow().table),
             members: Arc::new(members),
             me: rendezvous::text_key(&self.shared.settings.members.to_string()) as u64,
+            settled: self.settled.get(),
             stopping: self.stopping.get(),
         }
     }
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -124,7 +124,13 @@
         let (calls, wake) = {
             let mut queue = pool.queue.borrow_mut();
             queue.tick(now);
-            (queue.next_calls(now), queue.next_wake(now))
+            // Until it is clear who owns the pool, orders gather: most of them go to another node.
+            let calls = if traffic.plan().settled {
+                queue.next_calls(now)
+            } else {
+                Vec::new()
+            };
+            (calls, queue.next_wake(now))
         };
         pool.tell_ended();
         for call in calls {
