--- a/crates/barleyspool_stands/src/cut.rs
+++ b/crates/barleyspool_stands/src/cut.rs
@@ -2,6 +2,7 @@
 
 use barleyspool_wire::net;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -9,6 +10,8 @@
 
 /// Bytes passed on at once.
 const CHUNK: usize = 16 * 1024;
+/// How late a relay passes bytes on that delays them.
+const DELAY: Duration = Duration::from_millis(150);
 
 /// What a relay does with bytes.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
@@ -20,6 +23,8 @@
     Silent,
     /// Holds back what the far side sends; what is sent to it still arrives.
     OneWay,
+    /// Passes all on, late.
+    Delayed,
     /// Closes every connection.
     Reset,
 }
@@ -73,7 +78,7 @@
     let mut chunk = vec![0; CHUNK];
     loop {
         let blocked = match *mode.borrow_and_update() {
-            CutMode::Open => false,
+            CutMode::Open | CutMode::Delayed => false,
             CutMode::Silent => true,
             CutMode::OneWay => back,
             CutMode::Reset => return,
@@ -82,7 +87,14 @@
             changed = mode.changed() => if changed.is_err() { return },
             read = from.read(&mut chunk), if !blocked => match read {
                 Ok(0) | Err(_) => return,
-                Ok(len) => if to.write_all(&chunk[..len]).await.is_err() { return },
+                Ok(len) => {
+                    if *mode.borrow() == CutMode::Delayed {
+                        tokio::time::sleep(DELAY).await;
+                    }
+                    if to.write_all(&chunk[..len]).await.is_err() {
+                        return;
+                    }
+                }
             },
         }
     }
