The place of an overdue call at its target is given to another

A call whose answer was lost kept its target busy until it was given up after 8 s: the pool rahu42d made 53 calls in 2 s in place of 124, with 390 pieces waiting. An overdue call now gives its place away; its target comes last until it answers, and counts as slow after two in a row. What stays: results whose answer was lost fill their maker's room for 4 s, and nobody can name them to free them. Ruled out: the owner's processor (0.03 cores), slow targets (none in this pool).

--- a/crates/barleyspool_core/src/forward/piece_pick.rs
+++ b/crates/barleyspool_core/src/forward/piece_pick.rs
@@ -20,6 +20,8 @@
 struct Idle {
     id: String,
     zone: String,
+    /// Whether its last call took far too long.
+    suspect: bool,
     /// Tenths of its slowness, so that small differences say nothing.
     slowness: u64,
 }
@@ -60,7 +62,8 @@
     // ------------------------------------------------------------------------
     // Targets
 
-    /// The idle targets that may be used, those first whose zone the most urgent order wants, then the fastest.
+    /// The idle targets that may be used, those with an overdue call last, then those first whose
+    /// zone the most urgent order wants, then the fastest.
     fn idle_targets(&self, now: Time, waiting: u32) -> Vec<Idle> {
         let slots = self.spec.slots.max(1);
         let usable = || self.targets.iter().filter(|(_, target)| target.usable(now));
@@ -78,11 +81,12 @@
             .map(|(id, target)| Idle {
                 id: id.clone(),
                 zone: target.entry.zone.clone(),
+                suspect: target.overdue_row > 0,
                 slowness: (target.slowness * 10.0) as u64,
             })
             .collect();
         let wanted = self.wanted_zone();
-        idle.sort_by_key(|target| (target.zone != wanted, target.slowness));
+        idle.sort_by_key(|target| (target.suspect, target.zone != wanted, target.slowness));
         idle
     }
 
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -209,7 +209,8 @@
             return;
         };
         if let Some(target) = self.targets.get_mut(&call.target) {
-            target.calls = target.calls.saturating_sub(1);
+            // The place of an overdue call was given away when it became overdue.
+            target.calls = target.calls.saturating_sub(u32::from(!call.overdue));
             target.kept = target.kept.saturating_sub(call.reserved);
         }
         match outcome {
@@ -340,7 +341,8 @@
     // ------------------------------------------------------------------------
     // Time
 
-    /// Puts back the pieces of calls that take far too long; their late results still count.
+    /// Puts back the pieces of calls that take far too long, and gives their places at the targets to others: the
+    /// answer may be lost. Late results still count.
     pub fn tick(&mut self, now: Time) {
         let overdue: Vec<CallKey> = self
             .calls
--- a/crates/barleyspool_core/src/forward/pool_target.rs
+++ b/crates/barleyspool_core/src/forward/pool_target.rs
@@ -24,6 +24,8 @@
 const NO_ROOM_SHARE: u64 = 16;
 /// How much a new measurement moves an average.
 const GAIN: f64 = 0.3;
+/// Calls in a row that take far too long after which a target is taken for slow.
+const SLOW_ROW: u32 = 2;
 /// A target this much slower than the pool is used only while others are all busy and much waits.
 pub(super) const TOO_SLOW: f64 = 1.8;
 
@@ -43,6 +45,8 @@
     /// When it may get calls again.
     pub out_until: Time,
     out_for: Span,
+    /// Calls in a row that took far too long.
+    pub overdue_row: u32,
     full_for: Span,
     /// The part of its room that it is reckoned to have; it shrinks when it had none, and recovers.
     room_share: f64,
@@ -86,6 +90,7 @@
     pub fn answered(&mut self, now: Time, relative: f64) {
         self.slowness += GAIN * (relative - self.slowness);
         self.measured = now;
+        self.overdue_row = 0;
         self.out_for = OUT_FIRST;
         self.full_for = FULL_FIRST;
         self.room_share = (self.room_share * ROOM_GROW).min(1.0);
@@ -111,9 +116,13 @@
         self.out_for = OUT_LONGEST.min(self.out_for + self.out_for);
     }
 
-    /// A call takes far too long.
+    /// A call takes far too long. One lost answer says nothing of the target; two in a row say that it is slow.
     pub fn overdue(&mut self, now: Time) {
-        self.slowness = self.slowness.max(TOO_SLOW + 1.0);
-        self.measured = now;
+        self.calls = self.calls.saturating_sub(1);
+        self.overdue_row += 1;
+        if self.overdue_row >= SLOW_ROW {
+            self.slowness = self.slowness.max(TOO_SLOW + 1.0);
+            self.measured = now;
+        }
     }
 }
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -397,6 +397,35 @@
     assert!(matches!(&ended[..], [(key, OrderEnd::Made(_))] if *key == begun));
 }
 
+/// Targets whose answers were lost counted as busy until their calls were given up after 8 s; half a pool was idle.
+#[test]
+fn a_target_whose_answer_was_lost_gets_another_call_soon_and_a_slow_one_does_not() {
+    let mut queue = queue(1);
+    submit(&mut queue, at(0), order("a", BATCH));
+    assert_eq!(queue.next_calls(at(0)).len(), 1);
+    queue.tick(at(500));
+    let again = queue.next_calls(at(500));
+    assert_eq!(again.len(), 1, "the same pieces, at the only target there is");
+    queue.call_ended(at(700), again[0].call, made(&again[0]));
+    assert_eq!(queue.take_ended().len(), 1);
+    // Beside a fast one, a target that lets two calls in a row wait is left alone for a while.
+    let mut two = self::queue(2);
+    for (ms, name) in [(0, "a"), (0, "b"), (500, "c"), (500, "d")] {
+        submit(&mut two, at(ms), order(name, BATCH));
+    }
+    let slow = |calls: &[PieceCall]| calls.iter().filter(|call| call.id == "i-0").count();
+    for ms in [0, 500] {
+        two.tick(at(ms));
+        let calls = two.next_calls(at(ms));
+        assert_eq!(slow(&calls), 1, "at {ms} ms");
+        for call in calls.iter().filter(|call| call.id == "i-1") {
+            two.call_ended(at(ms + 230), call.call, made(call));
+        }
+    }
+    two.tick(at(1_000));
+    assert_eq!(slow(&two.next_calls(at(1_000))), 0);
+}
+
 #[test]
 fn inputs_are_kept_for_as_long_as_their_reader_needs_to_fetch_them() {
     let short = spec().fetch_time(1_000);
