Nodes that start together tell each other what is missing, by marks; moved orders ask on

Now a question names what is known by marks of four bytes and goes to anybody who is known; an answer tells what is missing, a few messages at a time, and a node answers only so much in 100 ms. A node is settled when two answers in a row brought nobody new, from nodes that know as many. Orders that moved are no longer given up after six moves.

--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -2,141 +2,168 @@
 //!
 //! News that ride on probes reach a large fleet within seconds, which is enough for one node that comes or goes.
 //! When all start at the same moment it is not: a node that knows a few others takes pools for its own that
-//! others own too. So a node that has just started asks one other, a seed at first, again and again for what
-//! that one has learnt since the last time (docs/DESIGN.md, "Members").
+//! others own too. So a node that has just started asks again and again, a seed at first and then anybody, and
+//! names what it knows by short marks; the other tells what is missing. Whoever is asked tells little at a time,
+//! so that no seed has to tell everybody everything (docs/DESIGN.md, "Members").
 
 use super::table::{Membership, news_of};
-use super::{MemberAction, MemberMessage, MemberNews, MemberQuestion};
-use crate::{Span, Time};
-use rand::seq::IteratorRandom;
+use super::{Member, MemberAction, MemberMessage, MemberNews, MemberQuestion};
+use crate::{Span, Time, rendezvous};
+use rand::seq::{IteratorRandom, SliceRandom};
+use std::collections::HashSet;
 
 /// How long after its start a node asks.
-const YOUNG: Span = Span::from_secs(3);
+const YOUNG: Span = Span::from_secs(4);
 /// The time between two questions.
-const ASK_EVERY: Span = Span::from_millis(120);
+const ASK_EVERY: Span = Span::from_millis(100);
+/// Messages with which one question is answered at the most.
+const MOST_PARTS: usize = 8;
+/// Messages with which all questions of [`ASK_EVERY`] are answered in full; those over it get a few names only.
+const PARTS_AT_ONCE: usize = 50;
+/// The names that a question over that is answered with.
+const FEW: usize = 3;
+/// Messages over which questions are not answered: whoever asked asks again, and by then knows somebody else.
+const PARTS_MOST: usize = 100;
 /// Answers in a row without anything new after which a node takes what it knows for all there is.
 const QUIET_ANSWERS: u32 = 2;
-/// And after this time in any case.
-const SETTLE: Span = Span::from_millis(800);
-/// Whoever did not answer for this long is not asked again; somebody else is.
-const PATIENCE: Span = Span::from_millis(400);
+/// But not before this time: all may have started at the same moment.
+const SETTLE_LEAST: Span = Span::from_millis(400);
+/// Nor later than after this one.
+const SETTLE_MOST: Span = Span::from_millis(1200);
+/// A node to which nobody answered by then is taken to be alone.
+const ALONE: Span = Span::from_millis(800);
 
-/// Whom a node asks, and how far it has got there.
+/// How far a node that has just started has come.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CatchUp {
-    /// Until when it asks; `None` before its first step.
-    until: Option<Time>,
+    /// The time of its first step.
+    started: Option<Time>,
     next: Time,
-    /// The node asked.
-    partner: String,
-    /// What it has told so far.
-    position: u64,
-    /// When it last answered, or was first asked.
-    heard: Time,
-    /// Whether the last question is still to be answered.
-    waiting: bool,
+    /// Whom it asked last, until the answer comes.
+    partner: Option<String>,
+    /// Nodes that it has learnt of, and how many they were when it asked last.
+    learnt: usize,
+    learnt_before: usize,
+    /// Whether anybody ever answered.
+    answered: bool,
     /// Answers in a row that told nothing new.
     quiet: u32,
+    /// Until when `parts` counts.
+    window: Time,
+    /// Messages with which questions were answered lately.
+    parts: usize,
 }
 
 impl Membership {
-    /// The position in the order of what this node has learnt, for a member about which something is new.
-    pub(super) fn next_place(&mut self) -> u64 {
-        self.places += 1;
-        self.places
-    }
-
     /// Whether what this node knows of the others is likely to be all there is. Before that it should not act as
     /// the only owner of anything.
     pub fn settled(&self, now: Time) -> bool {
-        let Some(until) = self.catch_up.until else {
+        let Some(started) = self.catch_up.started else {
             return false;
         };
-        let alone = self.catch_up.partner.is_empty();
-        alone || self.catch_up.quiet >= QUIET_ANSWERS || now + YOUNG > until + SETTLE
+        let age = now.since(started);
+        let alone = !self.catch_up.answered && self.members.is_empty();
+        let nobody = alone && (self.other_seeds().is_empty() || age > ALONE);
+        nobody || age > SETTLE_MOST || (age > SETTLE_LEAST && self.catch_up.quiet >= QUIET_ANSWERS)
     }
 
     pub(super) fn catch_up(&mut self, now: Time) {
-        let until = *self.catch_up.until.get_or_insert(now + YOUNG);
-        if now > until || now < self.catch_up.next {
+        let started = *self.catch_up.started.get_or_insert(now);
+        if now.since(started) > YOUNG || now < self.catch_up.next {
             return;
         }
         self.catch_up.next = now + ASK_EVERY;
-        let silent = now.since(self.catch_up.heard) > PATIENCE;
-        if self.catch_up.partner.is_empty() || silent {
-            let Some(partner) = self.partner() else { return };
-            self.catch_up.partner = partner;
-            self.catch_up.position = 0;
-            self.catch_up.heard = now;
+        let anybody: Vec<String> = self.reachable().collect();
+        let partner = anybody.into_iter().choose(&mut self.random);
+        self.catch_up.partner.clone_from(&partner);
+        self.catch_up.learnt_before = self.catch_up.learnt;
+        // Some seeds may be stale or down, so all are asked until somebody is known.
+        let asked = partner.map_or_else(|| self.other_seeds(), |partner| vec![partner]);
+        let known = self.marks();
+        for address in asked {
+            let known = known.clone();
+            self.send(address, MemberQuestion::Join { known });
         }
-        self.catch_up.waiting = true;
-        let (partner, after) = (self.catch_up.partner.clone(), self.catch_up.position);
-        self.send(partner, MemberQuestion::Join { after });
     }
 
-    /// A seed other than the one asked so far, or else anybody.
-    fn partner(&mut self) -> Option<String> {
-        let asked = self.catch_up.partner.clone();
-        let mut seeds = self.other_seeds();
-        seeds.retain(|seed| *seed != asked);
-        let seed = seeds.into_iter().choose(&mut self.random);
-        let anybody: Vec<String> = self.reachable().collect();
-        seed.or_else(|| anybody.into_iter().choose(&mut self.random))
+    /// What this node knows, each by a mark that changes with it.
+    pub(super) fn marks(&self) -> Vec<u32> {
+        self.members.values().map(mark).collect()
     }
 
-    /// Tells another node what this one has learnt after that position, in as many messages as it takes.
-    pub(super) fn share(&mut self, to: &str, after: u64) {
-        // A position of an earlier run of this node says nothing.
-        let mut from = if after > self.places { 0 } else { after };
-        let mut newer: Vec<(u64, MemberNews)> = self
+    /// Tells another node some of what it does not know, or that there is nothing.
+    pub(super) fn share(&mut self, now: Time, to: &str, known: &[u32]) {
+        let known: HashSet<u32> = known.iter().copied().collect();
+        let mut missing: Vec<MemberNews> = self
             .members
             .values()
-            .filter(|member| member.place > from && member.facts.address != to)
-            .map(|member| (member.place, news_of(member)))
+            .filter(|member| member.facts.address != to && !known.contains(&mark(member)))
+            .map(news_of)
             .collect();
-        newer.sort_by_key(|(place, _)| *place);
-        let mut parts = newer.chunks(self.settings.most_news.max(1)).peekable();
-        loop {
-            let part = parts.next().unwrap_or_default();
-            let last = parts.peek().is_none();
-            let upto = match part.last() {
-                Some((place, _)) if !last => *place,
-                _ => self.places,
-            };
+        // Those who ask at the same moment are told different things, which they then tell each other.
+        missing.shuffle(&mut self.random);
+        let most_news = self.settings.most_news.max(1);
+        let members = self.members.len() as u32;
+        let nothing = [Vec::new()];
+        let parts: Vec<Vec<MemberNews>> = missing.chunks(most_news).map(<[_]>::to_vec).collect();
+        let parts = if parts.is_empty() { &nothing[..] } else { &parts };
+        let told = self.told_lately(now);
+        if told >= PARTS_MOST {
+            return;
+        }
+        let busy = told >= PARTS_AT_ONCE;
+        let (most, names) = if busy { (1, FEW) } else { (MOST_PARTS, most_news) };
+        for part in parts.iter().take(most) {
+            self.catch_up.parts += 1;
             let mut news = vec![self.me.clone()];
-            news.extend(part.iter().map(|(_, news)| news.clone()));
+            news.extend(part.iter().take(names).cloned());
             self.actions.push(MemberAction::Send {
                 to: to.to_owned(),
                 message: MemberMessage {
-                    question: MemberQuestion::Share { from, upto },
+                    question: MemberQuestion::Share { members },
                     list: self.list,
                     news,
                 },
             });
-            if last {
-                return;
-            }
-            from = upto;
         }
     }
 
-    /// Notes how far another node has told; a part that follows on a lost one is told again.
-    pub(super) fn shared(&mut self, now: Time, teller: &str, from: u64, upto: u64) {
-        let asking = &mut self.catch_up;
-        if asking.partner != teller {
-            return;
+    /// Messages with which questions were answered in this window.
+    fn told_lately(&mut self, now: Time) -> usize {
+        if now >= self.catch_up.window {
+            self.catch_up.window = now + ASK_EVERY;
+            self.catch_up.parts = 0;
         }
-        asking.heard = now;
-        if from == asking.position && std::mem::take(&mut asking.waiting) {
-            let quiet = upto == from && upto > 0;
-            asking.quiet = if quiet { asking.quiet + 1 } else { 0 };
-        }
-        if from <= asking.position {
-            asking.position = if from == 0 {
-                upto
-            } else {
-                upto.max(asking.position)
-            };
+        self.catch_up.parts
+    }
+
+    /// Whether this node still asks by itself for all that there is.
+    pub(super) fn young(&self, now: Time) -> bool {
+        let started = self.catch_up.started;
+        started.is_none_or(|started| now.since(started) <= YOUNG)
+    }
+
+    /// A node was learnt of that this one did not know.
+    pub(super) fn note_learnt(&mut self) {
+        self.catch_up.learnt += 1;
+    }
+
+    /// Notes an answer, after its news were taken. Only a node that knows as many others as this one can say that
+    /// there are no more.
+    pub(super) fn shared(&mut self, teller: &str, members: u32) {
+        self.catch_up.answered = true;
+        if self.catch_up.partner.as_deref() != Some(teller) {
+            return;
         }
+        self.catch_up.partner = None;
+        let nothing_new = self.catch_up.learnt == self.catch_up.learnt_before;
+        let quiet = nothing_new && members as usize >= self.members.len();
+        self.catch_up.quiet = if quiet { self.catch_up.quiet + 1 } else { 0 };
     }
 }
+
+/// A short mark of what is known of a node.
+fn mark(member: &Member) -> u32 {
+    let state = member.incarnation.0 ^ (member.change << 32) ^ (member.health as u64) << 60;
+    rendezvous::place(member.key, state) as u32
+}
--- a/crates/barleyspool_core/src/membership/member.rs
+++ b/crates/barleyspool_core/src/membership/member.rs
@@ -45,8 +45,8 @@
     pub change: u64,
     /// How it is.
     pub health: MemberHealth,
-    /// Its place in the order in which this node learnt something new of the others.
-    pub place: u64,
+    /// Its address as a key for hashing.
+    pub key: u128,
     /// When its health last changed.
     pub since: Time,
     /// The revision at which its list of targets stood when it last spoke.
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -39,15 +39,13 @@
     },
     /// Tell me whom you know.
     Join {
-        /// Only what was learnt after this position, which the answer to an earlier question told.
-        after: u64,
+        /// Marks of what the asking node knows already; that need not be told.
+        known: Vec<u32>,
     },
-    /// A part of the answer to that, in order.
+    /// A part of the answer to that.
     Share {
-        /// The position after which it begins.
-        from: u64,
-        /// The position that it reaches.
-        upto: u64,
+        /// How many others the answering node knows.
+        members: u32,
     },
     /// Only news.
     News,
--- a/crates/barleyspool_core/src/membership/probes.rs
+++ b/crates/barleyspool_core/src/membership/probes.rs
@@ -123,12 +123,13 @@
 
     pub(super) fn join(&mut self, now: Time) {
         let knows_somebody = self.reachable().next().is_some();
-        if knows_somebody || now < self.next_join {
+        if knows_somebody || self.young(now) || now < self.next_join {
             return;
         }
         self.next_join = now + JOIN_EVERY;
         for seed in self.other_seeds() {
-            self.send(seed, MemberQuestion::Join { after: 0 });
+            let known = self.marks();
+            self.send(seed, MemberQuestion::Join { known });
         }
     }
 
@@ -155,7 +156,8 @@
             .filter(|seed| !self.members.contains_key(seed));
         let asked: Vec<String> = dead.chain(unknown).collect();
         if let Some(address) = asked.into_iter().choose(&mut self.random) {
-            self.send(address, MemberQuestion::Join { after: 0 });
+            let known = self.marks();
+            self.send(address, MemberQuestion::Join { known });
         }
     }
 }
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -2,7 +2,7 @@
 
 use super::catch_up::CatchUp;
 use super::{Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion};
-use crate::{Incarnation, Revision, Span, Time};
+use crate::{Incarnation, Revision, Span, Time, rendezvous};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -118,7 +118,6 @@
     pub(super) members: BTreeMap<String, Member>,
     pub(super) me: MemberNews,
     pub(super) list: Revision,
-    pub(super) places: u64,
     pub(super) catch_up: CatchUp,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
@@ -145,7 +144,6 @@
             random: SmallRng::seed_from_u64(settings.seed),
             me,
             list: Revision(0),
-            places: 0,
             catch_up: CatchUp::default(),
             members: BTreeMap::new(),
             probes: HashMap::new(),
@@ -286,8 +284,8 @@
                 self.probe(now, target, asked_by);
             }
             MemberQuestion::Answer { number } => self.answered(now, number),
-            MemberQuestion::Join { after } => self.share(from, after),
-            MemberQuestion::Share { from: first, upto } => self.shared(now, from, first, upto),
+            MemberQuestion::Join { known } => self.share(now, from, &known),
+            MemberQuestion::Share { members } => self.shared(from, members),
             MemberQuestion::News => {}
         }
     }
@@ -343,20 +341,9 @@
         if told_facts {
             self.tell_change(&address);
         }
-        if newer {
-            self.note_place(&address);
-        }
         self.to_tell.insert(address, 0);
     }
 
-    /// Something is new of a node: it comes last in the order of what this one has learnt.
-    fn note_place(&mut self, address: &str) {
-        let place = self.next_place();
-        if let Some(member) = self.members.get_mut(address) {
-            member.place = place;
-        }
-    }
-
     fn tell_change(&mut self, address: &str) {
         if let Some(member) = self.members.get(address) {
             self.actions.push(MemberAction::Changed {
@@ -382,13 +369,13 @@
             change: news.change,
             health: news.health,
             list: Revision(0),
-            place: 0,
+            key: rendezvous::text_key(&news.facts.address),
             since: now,
             heard: now,
         };
         let health = member.health;
+        self.note_learnt();
         self.members.insert(address.clone(), member);
-        self.note_place(&address);
         self.to_tell.insert(address.clone(), 0);
         let place = self.random.random_range(0..=self.turn.len());
         self.turn.insert(place, address.clone());
@@ -404,7 +391,6 @@
         }
         member.health = health;
         member.since = now;
-        self.note_place(address);
         self.to_tell.insert(address.to_owned(), 0);
         self.actions.push(MemberAction::Changed {
             address: address.to_owned(),
--- a/crates/barleyspool_core/tests/membership.rs
+++ b/crates/barleyspool_core/tests/membership.rs
@@ -19,6 +19,7 @@
     flying: VecDeque<(Time, String, String, MemberMessage)>,
     random: SmallRng,
     bytes: u64,
+    by_sender: BTreeMap<String, u64>,
     /// For each node, how often it told its shell that something changed.
     changes: BTreeMap<String, u32>,
 }
@@ -34,6 +35,7 @@
             flying: VecDeque::new(),
             random: SmallRng::seed_from_u64(seed),
             bytes: 0,
+            by_sender: BTreeMap::new(),
             changes: BTreeMap::new(),
         }
     }
@@ -67,7 +69,9 @@
                 *self.changes.entry(from.to_owned()).or_default() += 1;
                 continue;
             };
-            self.bytes += rmp_size(&message);
+            let size = rmp_size(&message);
+            self.bytes += size;
+            *self.by_sender.entry(from.to_owned()).or_default() += size;
             let cut = self.cut.contains(&(from.to_owned(), to.clone()));
             if !cut && !self.random.random_bool(self.loss) {
                 let at = self.now + Span::from_millis(self.random.random_range(1..4));
@@ -280,6 +284,25 @@
     }
 }
 
+/// At 300 nodes three seeds that told everybody everything were choked by their links for half a minute.
+#[test]
+fn no_seed_tells_everybody_everything_after_a_start_of_all() {
+    let names: Vec<String> = (0..300).map(|place| format!("m{place}")).collect();
+    let mut net = Net::new(0.02, 3);
+    for name in &names {
+        net.start(name, 1, &["m0", "m1", "m2"]);
+    }
+    let mut most = 0;
+    for _ in 0..20 {
+        net.by_sender.clear();
+        net.run(Span::from_millis(100));
+        most = most.max(net.by_sender.values().copied().max().unwrap_or(0));
+    }
+    let fewest = names.iter().map(|name| net.seen(name).len()).min();
+    assert_eq!(fewest, Some(300), "two seconds after the start");
+    assert!(most < 100_000, "a node sent {most} bytes in 100 ms");
+}
+
 #[test]
 fn a_node_is_settled_when_it_knows_all_or_nobody_answers() {
     let names: Vec<String> = (0..60).map(|place| format!("m{place}")).collect();
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -13,8 +13,8 @@
 
 /// Results smaller than this, in bytes, may be made in any zone.
 const ZONE_MATTERS: u64 = 100_000;
-/// Owners of a pool that are tried for one stage.
-const MOST_OWNERS: usize = 6;
+/// Owners that cannot be reached before a stage is given up.
+const MOST_OWNERS: usize = 4;
 /// How long to wait before the same owner is asked again after it said that another one owns the pool.
 const OWNER_WAIT: Duration = Duration::from_millis(50);
 
@@ -82,32 +82,7 @@
         planned.arrived(ready.stage);
     }
     let order = order(call, &ready, depth);
-    let mut end = OrderEnd::Failed;
-    let mut owner = Owner::Me;
-    let mut before = None;
-    for _ in 0..MOST_OWNERS {
-        owner = traffic.peers.owner(traffic, &pool);
-        if before.as_ref() == Some(&owner) {
-            // It says that another node owns the pool, which this one will hear of too.
-            tokio::time::sleep(OWNER_WAIT).await;
-            owner = traffic.peers.owner(traffic, &pool);
-        }
-        let made = match &owner {
-            Owner::Me => match traffic.pools.get(traffic, &pool) {
-                Some(local) => Some(local.make(traffic, order.clone()).await),
-                None => Some(OrderEnd::Failed),
-            },
-            Owner::Other(address) => traffic.peers.make(traffic, address, &pool, &order).await,
-        };
-        match made {
-            Some(OrderEnd::Moved) => before = Some(owner.clone()),
-            Some(made) => {
-                end = made;
-                break;
-            }
-            None => {}
-        }
-    }
+    let (owner, end) = make_at_owner(call, &pool, &order).await;
     let now = traffic.now();
     let owner = match &owner {
         Owner::Me => "self",
@@ -134,6 +109,40 @@
     }
 }
 
+/// Lets the owner of the pool make an order. Owners that cannot be reached are replaced a few times; one that says
+/// that the pool has moved is asked who owns it for as long as the call has time.
+async fn make_at_owner(call: &Call, pool: &PoolId, order: &PieceOrder) -> (Owner, OrderEnd) {
+    let traffic = &call.traffic;
+    let mut owner = traffic.peers.owner(traffic, pool);
+    let mut unreachable = 0;
+    while unreachable < MOST_OWNERS {
+        let made = match &owner {
+            Owner::Me => match traffic.pools.get(traffic, pool) {
+                Some(local) => Some(local.make(traffic, order.clone()).await),
+                None => Some(OrderEnd::Failed),
+            },
+            Owner::Other(address) => traffic.peers.make(traffic, address, pool, order).await,
+        };
+        let before = owner.clone();
+        match made {
+            Some(OrderEnd::Moved) => {
+                owner = traffic.peers.owner(traffic, pool);
+                if owner == before {
+                    // This node will hear of the other owner too.
+                    tokio::time::sleep(OWNER_WAIT).await;
+                    owner = traffic.peers.owner(traffic, pool);
+                }
+            }
+            Some(end) => return (owner, end),
+            None => {
+                unreachable += 1;
+                owner = traffic.peers.owner(traffic, pool);
+            }
+        }
+    }
+    (owner, OrderEnd::Failed)
+}
+
 fn order(call: &Call, ready: &ReadyStage, depth: usize) -> PieceOrder {
     let spec = &call.route.stages[ready.stage];
     let first = ready.inputs.is_empty() && spec.needs.is_empty();
