--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -27,11 +27,11 @@
 /// Answers in a row without anything new after which a node takes what it knows for all there is.
 const QUIET_ANSWERS: u32 = 2;
 /// But not before this time: all may have started at the same moment.
-const SETTLE_LEAST: Span = Span::from_millis(400);
+const SETTLE_LEAST: Span = Span::from_millis(300);
 /// Nor later than after this one.
-const SETTLE_MOST: Span = Span::from_millis(1200);
+const SETTLE_MOST: Span = Span::from_millis(600);
 /// A node to which nobody answered by then is taken to be alone.
-const ALONE: Span = Span::from_millis(800);
+const ALONE: Span = Span::from_millis(600);
 
 /// How far a node that has just started has come.
 #[derive(Clone, Debug, Default)]
