Plans are made once for many changes of members, and a list that did not change is not walked through

Each message with news of members made a plan, and each plan walked through all targets, for the forwarder and for each pool (with a hash a target).

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -1,13 +1,14 @@
 //! Which target answers a forwarded call, and whether a call may be sent again.
 
 use super::choice::own_tokens;
-use super::{Chosen, ForwardPlan, Need, RetryWindow, SendEnd, TargetKey, TargetRecord};
+use super::{Chosen, ForwardPlan, Need, RetryWindow, SendEnd, TargetKey, TargetRecord, TargetTable};
 use crate::chart::{Chart, ChartError};
 use crate::{Span, TARGET_CHART, TargetEvent, TargetPhase, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 slotmap::new_key_type! {
     /// A send that is under way.
@@ -76,6 +77,8 @@
 pub struct Forwarder {
     pub(super) settings: ForwardSettings,
     pub(super) targets: SlotMap<TargetKey, TargetRecord>,
+    /// The list that the books below were made from.
+    pub(super) table: Arc<TargetTable>,
     pub(super) by_id: HashMap<String, TargetKey>,
     pub(super) by_service: BTreeMap<String, Vec<TargetKey>>,
     pub(super) sends: SlotMap<SendKey, Send>,
@@ -100,6 +103,7 @@
             chart: Chart::load("target", TARGET_CHART)?,
             settings,
             targets: SlotMap::with_key(),
+            table: Arc::default(),
             by_id: HashMap::new(),
             by_service: BTreeMap::new(),
             sends: SlotMap::with_key(),
@@ -117,6 +121,11 @@
     /// Takes what a newer plan says of targets and members.
     pub fn take_plan(&mut self, plan: &ForwardPlan) {
         self.members = plan.members.len().max(1);
+        if Arc::ptr_eq(&self.table, &plan.targets) {
+            // Members come and go far more often than a large list should be walked through.
+            return;
+        }
+        self.table = Arc::clone(&plan.targets);
         let gone: Vec<String> = self
             .by_id
             .keys()
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -49,6 +49,8 @@
         spawn_local(feed_reader::run(Rc::clone(&state), Rc::clone(&source), feed));
     }
     spawn_local(relay::follow_peers(Rc::clone(&state)));
+    let publisher = Rc::clone(&state);
+    spawn_local(async move { publisher.publish_members().await });
     let metrics = Rc::new(metrics);
     spawn_local(relay::serve(Rc::clone(&state), ports.relay, Rc::clone(&metrics)));
     if let Some(listener) = ports.metrics {
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -10,10 +10,13 @@
 };
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// How long a feed may be silent after an error before other nodes are asked.
 const SOURCE_LOST: Span = Span::from_millis(300);
+/// How long changes of members are gathered for one plan.
+const GATHER: Duration = Duration::from_millis(20);
 
 /// What the control thread knows.
 pub struct ControlState {
@@ -33,6 +36,8 @@
     pub outbox: RefCell<Vec<MemberAction>>,
     /// Tells the members task that the outbox is not empty.
     pub outbox_filled: Notify,
+    /// Tells that members have changed since the last plan.
+    members_changed: Notify,
     /// Since when each feed has failed, and why it did last; `None` while it answers.
     failing: RefCell<[Option<(Time, String)>; 2]>,
     /// Whether the nodes that are known are likely to be all there are.
@@ -72,6 +77,7 @@
             membership: RefCell::new(membership),
             outbox: RefCell::default(),
             outbox_filled: Notify::new(),
+            members_changed: Notify::new(),
             failing: RefCell::default(),
             settled: Cell::new(false),
             stopping: Cell::new(false),
@@ -254,6 +260,16 @@
         }
         self.outbox_filled.notify_one();
         if changed {
+            self.members_changed.notify_one();
+        }
+    }
+
+    /// Makes a plan after members have changed, at most one every [`GATHER`]: when a fleet starts, hundreds of
+    /// changes come within a second.
+    pub async fn publish_members(&self) {
+        loop {
+            self.members_changed.notified().await;
+            tokio::time::sleep(GATHER).await;
             self.publish();
         }
     }
--- a/crates/barleyspool_gateway/src/traffic/pools.rs
+++ b/crates/barleyspool_gateway/src/traffic/pools.rs
@@ -2,10 +2,11 @@
 
 use super::Traffic;
 use super::pool::Pool;
-use barleyspool_core::{ForwardPlan, TargetEntry, rendezvous};
+use barleyspool_core::{Catalog, ForwardPlan, TargetEntry, TargetTable, rendezvous};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// A pool with more targets than this is split into shards, each with an owner of its own.
 const SHARD_TARGETS: usize = 16;
@@ -30,6 +31,8 @@
 #[derive(Default)]
 pub struct Pools {
     pools: RefCell<HashMap<PoolId, Rc<Pool>>>,
+    /// The list and the configuration that the pools have taken.
+    taken: RefCell<(Arc<TargetTable>, Option<Arc<Catalog>>)>,
 }
 
 impl Pools {
@@ -62,6 +65,18 @@
 
     /// Takes what a newer plan says of the pools.
     pub fn take_plan(&self, plan: &ForwardPlan) {
+        let new = (Arc::clone(&plan.targets), plan.catalog.clone());
+        let before = self.taken.replace(new);
+        let same_catalog = match (&before.1, &plan.catalog) {
+            (Some(before), Some(now)) => Arc::ptr_eq(before, now),
+            (None, None) => true,
+            _ => false,
+        };
+        if same_catalog && Arc::ptr_eq(&before.0, &plan.targets) {
+            // Only members have changed; a pool may be settled now.
+            self.pools.borrow().values().for_each(|pool| pool.wake());
+            return;
+        }
         for (id, pool) in self.pools.borrow().iter() {
             update(pool, id, plan);
             pool.wake();
