The revision of the configuration's feed says nothing of the list of targets

Cause: found on reading the change once more: an answer of the configuration's watch raised the revision at which the list of targets was said to stand. Test: fleet::a_node_whose_watch_hears_nothing_learns_from_the_others_what_is_leaving, with configurations that still arrive: red before (not in 10 s), green after.

--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -88,7 +88,7 @@
 ) -> Result<Revision, SourceError> {
     let limit = Duration::from_micros(WATCH.0) + WATCH_MARGIN;
     let changes = timed(limit, source.watch(feed, since, WATCH)).await?;
-    state.take_changes(changes.at, changes.changes);
+    state.take_changes(feed, changes.at, changes.changes);
     Ok(changes.at.max(since))
 }
 
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -140,7 +140,7 @@
     }
 
     /// Takes changes that the source told.
-    pub fn take_changes(&self, at: Revision, changes: Vec<SourceChange>) {
+    pub fn take_changes(&self, feed: Feed, at: Revision, changes: Vec<SourceChange>) {
         let mut target_changes = Vec::new();
         for change in changes {
             match change {
@@ -150,6 +150,10 @@
                 SourceChange::Malformed { key, cause } => self.skipped(&key, &cause),
             }
         }
+        if feed != Feed::Targets {
+            // Its revision says nothing of how far the list of targets was heard.
+            return;
+        }
         let mut targets = self.targets.borrow_mut();
         let changed = targets.apply(self.now(), at, target_changes);
         drop(targets);
