A call to a pool is made from one list, and an answer that is none of it is a failure

Cause: the body of a call left out pieces whose order had gone since the call was chosen, while the answer was matched to the full list. Ruled out: orders that move between owners (each has its own key, which is never used again), calls that are made anew (matched by their own list), results of overdue calls (they still name their own pieces). Also: an answer with another number of outcomes, or with a result that an earlier answer named, is a failure; its connection is not used again. Tests: two of forward_pieces, red before.

--- a/crates/barleyspool_core/src/forward/kept_results.rs
+++ b/crates/barleyspool_core/src/forward/kept_results.rs
@@ -5,10 +5,12 @@
 use crate::Time;
 use std::collections::BTreeMap;
 
-/// A result at its maker.
+/// A result that was made here. It is remembered until its maker drops it by itself, also when it has been freed: an
+/// answer that names it again is the repetition of an old one.
 #[derive(Clone, Debug)]
 pub(super) struct Kept {
     pub(super) target: String,
+    /// The room that it takes at its maker; none once it has been freed.
     pub(super) bytes: u64,
     pub(super) until: Time,
 }
@@ -58,11 +60,12 @@
     /// Their maker has freed them: only now is there room.
     pub fn freed(&mut self, handles: &[String]) {
         for handle in handles {
-            let Some(kept) = self.kept.remove(handle) else {
+            let Some(kept) = self.kept.get_mut(handle) else {
                 continue;
             };
+            let bytes = std::mem::take(&mut kept.bytes);
             if let Some(target) = self.targets.get_mut(&kept.target) {
-                target.kept = target.kept.saturating_sub(kept.bytes);
+                target.kept = target.kept.saturating_sub(bytes);
             }
         }
     }
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -37,7 +37,7 @@
 pub use kept_results::handle_address;
 pub use need::{Choose, Chosen, Need, Shard};
 pub use piece_order::{
-    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome,
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome,
 };
 pub use piece_queue::PieceQueue;
 pub use plan::{ForwardPlan, MemberView};
--- a/crates/barleyspool_core/src/forward/piece_order.rs
+++ b/crates/barleyspool_core/src/forward/piece_order.rs
@@ -83,13 +83,33 @@
     Failed,
 }
 
-/// One piece of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PieceItem {
-    /// The order it belongs to.
-    pub order: OrderKey,
+/// One piece of a call, by the order that it belongs to.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(super) struct PieceItem {
+    /// The order.
+    pub(super) order: OrderKey,
+    /// Which piece of it.
+    pub(super) piece: u32,
+}
+
+/// One piece as it is asked of a target. It is a copy: the order may be withdrawn before the call is written, and the
+/// outcomes of an answer belong to the pieces of the call by their place alone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PieceAsk {
+    /// The request's id.
+    pub request: String,
+    /// The stage's place in the route.
+    pub stage: u32,
     /// Which piece of it.
     pub piece: u32,
+    /// How long the result is of use.
+    pub left: Span,
+    /// What a piece without inputs works on; empty otherwise.
+    pub key: String,
+    /// The results that it needs.
+    pub inputs: Vec<String>,
+    /// The approximate size of all of them, in bytes.
+    pub input_bytes: u64,
 }
 
 /// A call that is to be made.
@@ -101,6 +121,6 @@
     pub id: String,
     /// Its address.
     pub address: String,
-    /// The pieces.
-    pub items: Vec<PieceItem>,
+    /// The pieces; an answer has one outcome for each, in this order.
+    pub asks: Vec<PieceAsk>,
 }
--- a/crates/barleyspool_core/src/forward/piece_pick.rs
+++ b/crates/barleyspool_core/src/forward/piece_pick.rs
@@ -1,8 +1,9 @@
 //! Which waiting pieces go into the next call, and to which target of the pool.
 
+use super::piece_order::PieceItem;
 use super::piece_queue::{Order, Piece};
 use super::pool_target::TOO_SLOW;
-use super::{OrderKey, PieceCall, PieceItem, PieceQueue, PoolTarget};
+use super::{OrderKey, PieceCall, PieceQueue, PoolTarget};
 use crate::{Span, Time};
 use std::collections::BTreeMap;
 
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -6,13 +6,14 @@
 //! correctness: a piece may be made anew.
 
 use super::kept_results::Kept;
+use super::piece_order::PieceItem;
 use super::{
-    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceItem, PieceOrder, PieceOutcome, PoolSpec,
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome, PoolSpec,
     PoolTarget, TargetEntry, TargetTable,
 };
 use crate::{Span, Time};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// A call is overdue after this many times its expected time.
 const PATIENCE: f64 = 2.0;
@@ -187,9 +188,10 @@
             }
             None => (String::new(), String::new()),
         };
+        let asks = items.iter().map(|item| self.ask(now, *item)).collect();
         let call = self.calls.insert(Call {
             target,
-            items: items.clone(),
+            items,
             started: now,
             expected,
             reserved,
@@ -199,14 +201,29 @@
             call,
             id,
             address,
-            items,
+            asks,
+        }
+    }
+
+    fn ask(&self, now: Time, item: PieceItem) -> PieceAsk {
+        // The item was taken from the order a moment ago, so the order is there.
+        let order = &self.orders[item.order].order;
+        PieceAsk {
+            request: order.request.clone(),
+            stage: order.stage,
+            piece: item.piece,
+            left: order.deadline.since(now),
+            key: order.key.clone(),
+            inputs: order.inputs.clone(),
+            input_bytes: order.input_bytes,
         }
     }
 
-    /// A call ended.
-    pub fn call_ended(&mut self, now: Time, key: CallKey, outcome: CallOutcome) {
+    /// A call ended. Returns whether its connection is of use again: an answer that is none of this call may be
+    /// followed by the one that is.
+    pub fn call_ended(&mut self, now: Time, key: CallKey, outcome: CallOutcome) -> bool {
         let Some(call) = self.calls.remove(key) else {
-            return;
+            return false;
         };
         if let Some(target) = self.targets.get_mut(&call.target) {
             // The place of an overdue call was given away when it became overdue.
@@ -214,18 +231,25 @@
             target.kept = target.kept.saturating_sub(call.reserved);
         }
         match outcome {
-            CallOutcome::Done(outcomes) => self.call_done(now, &call, outcomes),
+            CallOutcome::Done(outcomes) if self.answers(&call, &outcomes) => {
+                self.call_done(now, &call, outcomes);
+                true
+            }
             CallOutcome::Refused { misdirected: false } => {
                 self.on_target(&call.target, |target| target.was_full(now));
                 self.requeue(&call, false);
+                true
             }
             CallOutcome::Refused { misdirected: true } | CallOutcome::Unreachable => {
                 self.on_target(&call.target, |target| target.failed(now));
                 self.requeue(&call, false);
+                false
             }
-            CallOutcome::BrokenOff => {
+            // An answer that is none of this call says as little of its pieces as none at all.
+            CallOutcome::Done(_) | CallOutcome::BrokenOff => {
                 self.on_target(&call.target, |target| target.failed(now));
                 self.requeue(&call, true);
+                false
             }
         }
     }
@@ -236,6 +260,17 @@
         }
     }
 
+    /// Whether an answer can belong to a call: one outcome for each piece, and no result that an earlier answer
+    /// named. Nothing else ties the two together but their connection, on which a target may send an answer twice.
+    fn answers(&self, call: &Call, outcomes: &[PieceOutcome]) -> bool {
+        let mut seen = HashSet::new();
+        let is_new = |outcome: &PieceOutcome| match outcome {
+            PieceOutcome::Made(handle) => !self.kept.contains_key(handle) && seen.insert(handle.clone()),
+            _ => true,
+        };
+        outcomes.len() == call.items.len() && outcomes.iter().all(is_new)
+    }
+
     fn call_done(&mut self, now: Time, call: &Call, outcomes: Vec<PieceOutcome>) {
         let base = self.call_time(call.items.len() as u32).0.max(1) as f64;
         let relative = now.since(call.started).0 as f64 / base;
@@ -244,9 +279,7 @@
         }
         // The whole pool's pace moves slowly and little: one slow target must not look normal.
         self.pace = (self.pace * (1.0 + 0.02 * (relative.min(1.5) - 1.0))).clamp(0.3, 3.0);
-        let mut outcomes = outcomes.into_iter();
-        for item in &call.items {
-            let outcome = outcomes.next().unwrap_or(PieceOutcome::Failed);
+        for (item, outcome) in call.items.iter().zip(outcomes) {
             self.piece_ended(now, call, item, outcome);
         }
     }
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
 use barleyspool_core::{
-    CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Span,
-    TargetEntry, TargetTable, Time,
+    CallOutcome, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec,
+    Span, TargetEntry, TargetTable, Time,
 };
 
 const BATCH: u32 = 8;
@@ -61,9 +61,13 @@
 }
 
 fn made(call: &PieceCall) -> CallOutcome {
-    let handle =
-        |item: &barleyspool_core::PieceItem| PieceOutcome::Made(format!("{}/{}", call.address, item.piece));
-    CallOutcome::Done(call.items.iter().map(handle).collect())
+    let handle = |ask: &PieceAsk| {
+        PieceOutcome::Made(format!(
+            "{}/{}-{}-{:?}",
+            call.address, ask.request, ask.piece, call.call
+        ))
+    };
+    CallOutcome::Done(call.asks.iter().map(handle).collect())
 }
 
 #[test]
@@ -73,7 +77,7 @@
     let second = submit(&mut queue, at(0), order("b", 3));
     let calls = queue.next_calls(at(0));
     assert_eq!(calls.len(), 1);
-    assert_eq!(calls[0].items.len(), 6);
+    assert_eq!(calls[0].asks.len(), 6);
     assert!(
         queue.next_calls(at(1)).is_empty(),
         "the target works on one call at a time"
@@ -99,10 +103,10 @@
         ..order("high", 6)
     };
     submit(&mut queue, at(0), low);
-    let high = submit(&mut queue, at(0), high);
+    submit(&mut queue, at(0), high);
     let calls = queue.next_calls(at(0));
-    assert_eq!(calls[0].items.len(), BATCH as usize);
-    let of_high = calls[0].items.iter().filter(|item| item.order == high).count();
+    assert_eq!(calls[0].asks.len(), BATCH as usize);
+    let of_high = calls[0].asks.iter().filter(|ask| ask.request == "high").count();
     assert_eq!(of_high, 6);
 }
 
@@ -174,17 +178,23 @@
         },
     );
     let call = queue.next_calls(at(0)).remove(0);
-    assert_eq!(call.items.len(), 2, "two of 400 bytes fit into 1000");
+    assert_eq!(call.asks.len(), 2, "two of 400 bytes fit into 1000");
     queue.call_ended(at(200), call.call, made(&call));
     assert!(queue.next_calls(at(201)).is_empty(), "its room is taken");
-    queue.give_up(vec![format!("{}/0", call.address)]);
+    let CallOutcome::Done(results) = made(&call) else {
+        panic!("it is done")
+    };
+    let PieceOutcome::Made(first) = &results[0] else {
+        panic!("it is made")
+    };
+    queue.give_up(vec![first.clone()]);
     let unneeded = queue.take_unneeded();
     assert!(
         queue.next_calls(at(202)).is_empty(),
         "its maker has not freed it yet"
     );
     queue.freed(&unneeded[0].2);
-    assert_eq!(queue.next_calls(at(203)).remove(0).items.len(), 1);
+    assert_eq!(queue.next_calls(at(203)).remove(0).asks.len(), 1);
 }
 
 #[test]
@@ -234,7 +244,7 @@
     queue.call_ended(at(200), call.call, made(&call));
     queue.withdraw(key);
     assert!(queue.next_calls(at(201)).is_empty());
-    assert_eq!(queue.take_unneeded()[0].2.len(), call.items.len());
+    assert_eq!(queue.take_unneeded()[0].2.len(), call.asks.len());
 }
 
 #[test]
@@ -467,3 +477,45 @@
         "after three seconds without a piece it is stuck indeed"
     );
 }
+
+/// An order was withdrawn between the choice of its pieces and the writing of the call. The body had a gap, the answer
+/// was matched from the front, and every result after the gap was put under the wrong piece (incident 11).
+#[test]
+fn an_answer_with_fewer_outcomes_than_pieces_is_a_failure_never_a_result() {
+    let mut queue = queue(1);
+    submit(&mut queue, at(0), order("a", 1));
+    submit(&mut queue, at(0), order("b", 1));
+    let call = queue.next_calls(at(0)).remove(0);
+    let short = CallOutcome::Done(vec![PieceOutcome::Made("10.0.0.0:80/of-b".to_owned())]);
+    queue.call_ended(at(200), call.call, short);
+    assert!(
+        queue.take_ended().is_empty(),
+        "nobody gets a result that cannot be tied to a piece"
+    );
+    assert_eq!(queue.waiting(), 2, "both are made anew");
+}
+
+/// A target may send an answer a second time, where the answer to the next call is expected.
+#[test]
+fn an_answer_that_repeats_the_results_of_an_earlier_call_is_a_failure_never_a_result() {
+    let mut queue = queue(1);
+    submit(&mut queue, at(0), order("a", 2));
+    let first = queue.next_calls(at(0)).remove(0);
+    let answer = made(&first);
+    queue.call_ended(at(200), first.call, answer.clone());
+    let [(_, OrderEnd::Made(handles))] = &queue.take_ended()[..] else {
+        panic!("the first order is made")
+    };
+    queue.give_up(handles.clone());
+    for (_, _, handles) in queue.take_unneeded() {
+        queue.freed(&handles);
+    }
+    submit(&mut queue, at(300), order("b", 2));
+    let second = queue.next_calls(at(300)).remove(0);
+    queue.call_ended(at(310), second.call, answer);
+    assert!(
+        queue.take_ended().is_empty(),
+        "these are the results of another request"
+    );
+    assert_eq!(queue.waiting(), 2);
+}
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -4,7 +4,9 @@
 //! translate only: they decide nothing and remember nothing.
 
 use crate::CallFailure;
-use barleyspool_core::{CallHead, CatalogDocument, LoadReport, PieceOutcome, Revision, Span, TargetEntry};
+use barleyspool_core::{
+    CallHead, CatalogDocument, LoadReport, PieceAsk, PieceOutcome, Revision, Span, TargetEntry,
+};
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
@@ -82,23 +84,6 @@
     pub answer: fn(&response::Parts) -> AnswerHead,
 }
 
-/// One piece that is asked of a pool's target.
-#[derive(Clone, Debug, Default)]
-pub struct PieceAsk {
-    /// The request's id.
-    pub request: String,
-    /// The stage's place in the route.
-    pub stage: u32,
-    /// Which piece of it.
-    pub piece: u32,
-    /// How long the result is of use.
-    pub left: Span,
-    /// What a piece without inputs works on.
-    pub key: String,
-    /// The results that it needs.
-    pub inputs: Vec<String>,
-}
-
 /// How stage pools speak.
 #[derive(Clone)]
 pub struct PoolEdge {
--- a/crates/barleyspool_gateway/src/lib.rs
+++ b/crates/barleyspool_gateway/src/lib.rs
@@ -19,7 +19,7 @@
 mod traffic;
 
 pub use edges::{
-    AddressQuery, AnswerHead, CallerEdge, DirectoryEdge, Edges, Feed, PieceAsk, PoolEdge, SendHead, Source,
+    AddressQuery, AnswerHead, CallerEdge, DirectoryEdge, Edges, Feed, PoolEdge, SendHead, Source,
     SourceChange, SourceChanges, SourceError, SourceFuture, SourcePage, TargetEdge,
 };
 pub use event_log::{EventLog, Line};
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -1,15 +1,17 @@
 //! One pool that this node owns: its queue, and the calls to its targets.
 
 use super::Traffic;
-use super::connections::SendFailure;
-use crate::edges::PieceAsk;
+use super::callers::duration;
+use super::connections::{Connection, SendFailure};
+use crate::edges::AnswerHead;
 use crate::event_log::Line;
 use barleyspool_core::{
-    CallKey, CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Span,
+    CallKey, CallOutcome, Counter, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome,
+    PieceQueue, PoolSpec, Span,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -147,45 +149,42 @@
 }
 
 async fn run_call(traffic: Rc<Traffic>, pool: Rc<Pool>, call: PieceCall) {
-    let (key, target, pieces) = (call.call, call.id.clone(), call.items.len());
-    let far_kb = far_bytes(&traffic, &pool, &call) / 1000;
+    let (key, target, pieces) = (call.call, call.id.clone(), call.asks.len());
+    let far_kb = far_bytes(&traffic, &call) / 1000;
     let began = traffic.now();
-    let outcome = match tokio::time::timeout(CALL_TIMEOUT, send_call(&traffic, &pool, call)).await {
-        Ok(outcome) => outcome,
-        Err(_) => CallOutcome::BrokenOff,
+    let answer = match tokio::time::timeout(CALL_TIMEOUT, send_call(&traffic, call)).await {
+        Ok(answer) => answer,
+        Err(_) => CallAnswer::without(CallOutcome::BrokenOff),
     };
     let now = traffic.now();
     let line = Line::PoolCall {
         target: &target,
         pieces,
-        made: made(&outcome),
+        made: made(&answer.outcome),
         waiting: pool.queue.borrow().waiting(),
         far_kb,
-        end: outcome_name(&outcome),
+        end: outcome_name(&answer.outcome),
         took_ms: now.since(began).as_millis(),
     };
-    if matches!(outcome, CallOutcome::Done(_)) {
+    if matches!(answer.outcome, CallOutcome::Done(_)) {
         traffic.log.write_good(now, &line);
     } else {
         traffic.log.write(now, &line);
     }
-    end_call(&traffic, &pool, key, outcome);
+    end_call(&traffic, &pool, key, answer);
 }
 
 /// The bytes of inputs that a call's target has to fetch from another zone; each piece fetches its own.
-fn far_bytes(traffic: &Traffic, pool: &Pool, call: &PieceCall) -> u64 {
+fn far_bytes(traffic: &Traffic, call: &PieceCall) -> u64 {
     let plan = traffic.plan();
     let Some(zone) = plan.targets.get(&call.id).map(|target| &target.zone) else {
         return 0;
     };
-    let queue = pool.queue.borrow();
-    let orders = call.items.iter().filter_map(|item| queue.order(item.order));
-    orders
-        .map(|order| {
-            let far = plan.made_elsewhere(&order.inputs, zone) as u64;
-            order.input_bytes * far / order.inputs.len().max(1) as u64
-        })
-        .sum()
+    let far = |ask: &PieceAsk| {
+        let far = plan.made_elsewhere(&ask.inputs, zone) as u64;
+        ask.input_bytes * far / ask.inputs.len().max(1) as u64
+    };
+    call.asks.iter().map(far).sum()
 }
 
 fn made(outcome: &CallOutcome) -> usize {
@@ -207,8 +206,17 @@
     }
 }
 
-fn end_call(traffic: &Traffic, pool: &Pool, key: CallKey, outcome: CallOutcome) {
-    pool.queue.borrow_mut().call_ended(traffic.now(), key, outcome);
+fn end_call(traffic: &Traffic, pool: &Pool, key: CallKey, answer: CallAnswer) {
+    let done = matches!(answer.outcome, CallOutcome::Done(_));
+    let usable = pool
+        .queue
+        .borrow_mut()
+        .call_ended(traffic.now(), key, answer.outcome);
+    match answer.connection {
+        Some((connection, keep)) if usable => traffic.connections.put_back(connection, keep),
+        Some(_) if done => traffic.count(Counter::Misdirected),
+        _ => {}
+    }
     pool.tell_ended();
     pool.wake();
     if pool.queue.borrow().has_unneeded() {
@@ -216,11 +224,25 @@
     }
 }
 
-async fn send_call(traffic: &Traffic, pool: &Pool, call: PieceCall) -> CallOutcome {
-    let asks = asks(traffic, pool, &call);
-    let (path, body) = (traffic.edges.pool.run)(&asks);
+/// What came of a call, and its connection when a whole answer was read from it.
+struct CallAnswer {
+    outcome: CallOutcome,
+    connection: Option<(Connection, Option<Duration>)>,
+}
+
+impl CallAnswer {
+    fn without(outcome: CallOutcome) -> Self {
+        Self {
+            outcome,
+            connection: None,
+        }
+    }
+}
+
+async fn send_call(traffic: &Traffic, call: PieceCall) -> CallAnswer {
+    let (path, body) = (traffic.edges.pool.run)(&call.asks);
     let Some(request) = request(traffic, path, &call.address, &call.id, body) else {
-        return CallOutcome::BrokenOff;
+        return CallAnswer::without(CallOutcome::BrokenOff);
     };
     let sent = traffic
         .connections
@@ -228,47 +250,35 @@
         .await;
     let (connection, response) = match sent {
         Ok(sent) => sent,
-        Err(SendFailure::NotWritten) => return CallOutcome::Unreachable,
-        Err(SendFailure::BrokenOff) => return CallOutcome::BrokenOff,
+        Err(SendFailure::NotWritten) => return CallAnswer::without(CallOutcome::Unreachable),
+        Err(SendFailure::BrokenOff) => return CallAnswer::without(CallOutcome::BrokenOff),
     };
     let (parts, body) = response.into_parts();
     let head = (traffic.edges.target.answer)(&parts);
     let Ok(body) = Limited::new(body, MOST_ANSWER).collect().await else {
-        return CallOutcome::BrokenOff;
+        return CallAnswer::without(CallOutcome::BrokenOff);
     };
-    let keep = head.keep.map(|keep| Duration::from_micros(keep.0));
-    traffic.connections.put_back(connection, keep);
+    CallAnswer {
+        outcome: outcome(traffic, &head, parts.status, &body.to_bytes()),
+        connection: Some((connection, head.keep.map(duration))),
+    }
+}
+
+fn outcome(traffic: &Traffic, head: &AnswerHead, status: StatusCode, body: &[u8]) -> CallOutcome {
     if head.not_run || head.misdirected {
         return CallOutcome::Refused {
             misdirected: head.misdirected,
         };
     }
-    if !parts.status.is_success() {
+    if !status.is_success() {
         return CallOutcome::BrokenOff;
     }
-    match (traffic.edges.pool.run_answer)(&body.to_bytes()) {
-        Some(outcomes) if outcomes.len() == asks.len() => CallOutcome::Done(outcomes),
-        _ => CallOutcome::BrokenOff,
+    match (traffic.edges.pool.run_answer)(body) {
+        Some(outcomes) => CallOutcome::Done(outcomes),
+        None => CallOutcome::BrokenOff,
     }
 }
 
-fn asks(traffic: &Traffic, pool: &Pool, call: &PieceCall) -> Vec<PieceAsk> {
-    let now = traffic.now();
-    let queue = pool.queue.borrow();
-    let ask = |item: &barleyspool_core::PieceItem| {
-        let order = queue.order(item.order)?;
-        Some(PieceAsk {
-            request: order.request.clone(),
-            stage: order.stage,
-            piece: item.piece,
-            left: order.deadline.since(now),
-            key: order.key.clone(),
-            inputs: order.inputs.clone(),
-        })
-    };
-    call.items.iter().filter_map(ask).collect()
-}
-
 fn request(
     traffic: &Traffic,
     path: &str,
