--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -8,7 +8,7 @@
     CallHead, CatalogDocument, LoadReport, PieceAsk, PieceOutcome, Revision, Span, TargetEntry,
 };
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::http::{request, response};
 use std::future::Future;
 use std::pin::Pin;
@@ -78,6 +78,8 @@
 /// How targets that answer calls speak.
 #[derive(Clone)]
 pub struct TargetEdge {
+    /// The headers that belong to a call, whatever a caller's `Connection` header says of them.
+    pub of_caller: &'static [HeaderName],
     /// Turns a caller's headers into those for the target.
     pub prepare: fn(&mut HeaderMap, &SendHead),
     /// Reads the head of an answer.
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -380,7 +380,7 @@
         .body(Full::new(call.body.clone()))
         .ok()?;
     let mut headers = call.headers.clone();
-    drop_connection_headers(&mut headers);
+    drop_connection_headers(&mut headers, call.traffic.edges.target.of_caller);
     let head = SendHead {
         incarnation: chosen.id.clone(),
         organisation: call.organisation.clone(),
@@ -396,20 +396,22 @@
 
 /// The head of a target's answer as it goes to the caller.
 fn answer_parts(mut parts: Parts) -> Parts {
-    drop_connection_headers(&mut parts.headers);
+    drop_connection_headers(&mut parts.headers, &[]);
     parts
 }
 
 /// Headers that say something of one connection only.
 const OF_ONE_CONNECTION: &[&str] = &["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
 
-fn drop_connection_headers(headers: &mut HeaderMap) {
+/// Takes off what speaks of one connection: a few headers always, others when `Connection` names them, but for `kept`.
+fn drop_connection_headers(headers: &mut HeaderMap, kept: &[HeaderName]) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !kept.contains(name))
         .collect();
     for name in named {
         headers.remove(name);
