Two nodes watch the source for a short time only, so that watches lost together are noticed

Cause: a source that falls silent swallows the watches that reach it in that moment. Ruled out: a stale list of the pool's owner alone: no node had a newer one. Test: fleet::watches_that_are_all_lost_together_are_noticed_within_seconds, red before. The list's revision that others are told is that of its last change, or short watches would have all others ask for a list that they have.

--- a/crates/barleyspool_core/src/forward/feed_cursor.rs
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -1,12 +1,40 @@
 //! Where a node stands in a feed of the platform: what to ask next, and when.
 
-use crate::{Revision, Span};
+use crate::{Revision, Span, rendezvous};
 
 /// The first wait after an error.
 const RETRY_FIRST: Span = Span::from_millis(60);
 /// The longest. Each call is priced, also one that fails, and other nodes tell what the platform does not.
 const RETRY_LONGEST: Span = Span::from_millis(1500);
 
+/// How many nodes watch the feeds for a short time only. A watch that reached the platform in the moment in which it
+/// fell silent never answers, which looks like a feed without changes; nodes that arm their watches together lose them
+/// together (docs/incidents, 7). Two, so that one of them may be cut off; more cost calls and find nothing sooner.
+const SCOUTS: usize = 2;
+/// How long a scout's watch may wait. With [`WATCH_MARGIN`] and the time to read it is below the three seconds after
+/// which nodes are bound again by what the platform says.
+const SCOUT_WATCH: Span = Span::from_secs(2);
+/// How long any other watch may wait; each one is a call, so few and long ones are cheap.
+const WATCH: Span = Span::from_secs(20);
+/// What a watch may take beyond its own time: an answer of a slow platform takes some 250 ms.
+pub const WATCH_MARGIN: Span = Span::from_millis(500);
+/// The key by which scouts are picked among the members.
+const SCOUT_KEY: u128 = 0x5c00_7a11;
+
+/// Whether node `me` is one of those that watch the feeds for a short time only. A node that knows nobody else is.
+pub fn is_scout(members: impl IntoIterator<Item = u64>, me: u64) -> bool {
+    let mine = rendezvous::place(SCOUT_KEY, me);
+    let better = members
+        .into_iter()
+        .filter(|member| *member != me && rendezvous::place(SCOUT_KEY, *member) < mine);
+    better.count() < SCOUTS
+}
+
+/// How long a watch may wait.
+pub fn watch_time(scout: bool) -> Span {
+    if scout { SCOUT_WATCH } else { WATCH }
+}
+
 /// What to ask of a feed next.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub enum FeedStep {
@@ -38,8 +66,9 @@
         self.since = Some(self.since.map_or(at, |since| since.max(at)));
     }
 
-    /// The platform has forgotten what came after the revision asked for.
-    pub fn history_gone(&mut self) {
+    /// Everything has to be read: the platform has forgotten what came after the revision asked for, or another node
+    /// knows what a watch should have told.
+    pub fn start_over(&mut self) {
         self.since = None;
     }
 
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -32,7 +32,7 @@
     CallerLimits, Catalog, CatalogDocument, CatalogFault, EngineSpec, ForwardService, KeyHolder, PoolSpec,
     Route, RouteKind, Share, StageSpec,
 };
-pub use feed_cursor::{FeedCursor, FeedStep};
+pub use feed_cursor::{FeedCursor, FeedStep, WATCH_MARGIN, is_scout, watch_time};
 pub use forwarder::{ForwardSettings, Forwarder, SendKey};
 pub use kept_results::handle_address;
 pub use need::{Choose, Chosen, Need, Shard};
--- a/crates/barleyspool_core/src/forward/source_store.rs
+++ b/crates/barleyspool_core/src/forward/source_store.rs
@@ -68,6 +68,9 @@
     pub zones: Arc<HashMap<String, String>>,
     /// The platform's revision that it stands at.
     pub at: Revision,
+    /// The revision at which it last became another one. Others are told this one: what changes elsewhere on the
+    /// platform raises the other, and would have them ask for a list that they have.
+    pub changed_at: Revision,
     /// Entries that were missing when the source came back, and when they are taken as gone.
     pub lapsed: BTreeMap<String, Time>,
     /// Until when what goes may have lapsed while the source was away.
@@ -144,6 +147,7 @@
 
     fn changed(&mut self, changed: bool) -> bool {
         if changed {
+            self.changed_at = self.at;
             self.zones = Arc::new(ForwardPlan::zones_of(&self.table));
         }
         changed
--- a/crates/barleyspool_core/tests/forward_catalog.rs
+++ b/crates/barleyspool_core/tests/forward_catalog.rs
@@ -199,6 +199,6 @@
     cursor.answered(Revision(12));
     assert_eq!(cursor.failed(), first, "an answer ends the row of errors");
     cursor.answered(Revision(13));
-    cursor.history_gone();
+    cursor.start_over();
     assert_eq!(cursor.next_step(), FeedStep::Read);
 }
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -2,27 +2,27 @@
 
 use super::state::ControlState;
 use crate::edges::{Feed, Source, SourceChange, SourceError};
-use barleyspool_core::{FeedCursor, FeedStep, Revision, Span, TargetTable};
+use barleyspool_core::{FeedCursor, FeedStep, Revision, Span, TargetTable, WATCH_MARGIN, watch_time};
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a watch may wait; each one is a call, so few and long ones are cheap.
-const WATCH: Span = Span::from_secs(20);
-/// What a watch may take beyond its own time.
-const WATCH_MARGIN: Duration = Duration::from_secs(2);
-/// How long a read may take.
-const READ: Duration = Duration::from_millis(1500);
+/// How long a read may take: an answer of a slow source takes some 250 ms, and a silent one is asked again.
+const READ: Duration = Duration::from_millis(1000);
 /// The least time between a change of the list of targets and the next watch of it. Targets come and go many
 /// at a time, and each answer of a watch is a call: what changes meanwhile comes with one answer.
 const GATHER: Duration = Duration::from_millis(250);
+
 /// Follows a feed until the process ends.
 pub async fn run(state: Rc<ControlState>, source: Rc<dyn Source>, feed: Feed) {
     let mut cursor = FeedCursor::default();
     loop {
         let result = match cursor.next_step() {
             FeedStep::Read => read_whole(&state, &source, feed).await,
-            FeedStep::Watch(since) => watch(&state, &source, feed, since).await,
+            FeedStep::Watch(since) => tokio::select! {
+                result = watch(&state, &source, feed, since) => result,
+                () = state.watch_suspect(feed) => Err(SourceError::Overtaken),
+            },
         };
         match result {
             Ok(at) => {
@@ -32,7 +32,7 @@
                     tokio::time::sleep(GATHER).await;
                 }
             }
-            Err(SourceError::HistoryGone) => cursor.history_gone(),
+            Err(SourceError::HistoryGone | SourceError::Overtaken) => cursor.start_over(),
             Err(error) => {
                 state.feed_result(feed, Some(&error.to_string()));
                 wait_up_to(cursor.failed()).await;
@@ -64,7 +64,9 @@
                 SourceChange::Target(entry) => {
                     table.insert(entry.id.clone(), entry);
                 }
-                SourceChange::Configuration(document) => state.offer(*document, "source"),
+                SourceChange::Configuration(document) => {
+                    state.offer(*document, "source");
+                }
                 SourceChange::Malformed { key, cause } => state.skipped(&key, &cause),
                 SourceChange::TargetGone(_) => {}
             }
@@ -86,8 +88,9 @@
     feed: Feed,
     since: Revision,
 ) -> Result<Revision, SourceError> {
-    let limit = Duration::from_micros(WATCH.0) + WATCH_MARGIN;
-    let changes = timed(limit, source.watch(feed, since, WATCH)).await?;
+    let wait = watch_time(state.is_scout());
+    let limit = Duration::from_micros((wait + WATCH_MARGIN).0);
+    let changes = timed(limit, source.watch(feed, since, wait)).await?;
     state.take_changes(feed, changes.at, changes.changes);
     Ok(changes.at.max(since))
 }
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -1,6 +1,7 @@
 //! Configuration and targets by way of other nodes, for those that the source does not answer; and metrics.
 
 use super::state::ControlState;
+use crate::edges::Feed;
 use crate::metrics::Metrics;
 use barleyspool_core::{CatalogDocument, MemberHealth, Revision, TargetTable};
 use barleyspool_wire::net;
@@ -154,11 +155,15 @@
         return;
     };
     let from = peer.to_string();
-    if let Some(document) = known.document {
-        state.offer(document, &from);
+    if let Some(document) = known.document
+        && state.offer(document, &from)
+    {
+        state.overtaken(Feed::Configuration);
     }
-    if let Some(table) = known.targets {
-        state.replace_targets(known.at, table, &from);
+    if let Some(table) = known.targets
+        && state.replace_targets(known.at, table, &from)
+    {
+        state.overtaken(Feed::Targets);
     }
 }
 
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -6,7 +6,7 @@
 use barleyspool_core::{
     CatalogDocument, CatalogStore, ForwardPlan, Incarnation, MemberAction, MemberEvent, MemberFacts,
     MemberHealth, MemberView, Membership, MembershipSettings, Offered, Revision, Span, TargetChange,
-    TargetStore, TargetTable, Time, rendezvous,
+    TargetStore, TargetTable, Time, is_scout, rendezvous,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -44,6 +44,10 @@
     settled: Cell<bool>,
     /// Whether a planned stop is under way.
     pub stopping: Cell<bool>,
+    /// Whether this node watches the feeds for a short time only.
+    scout: Cell<bool>,
+    /// Tells the reader of each feed that its watch may hear nothing any more.
+    suspect: [Notify; 2],
 }
 
 impl ControlState {
@@ -81,6 +85,8 @@
             failing: RefCell::default(),
             settled: Cell::new(false),
             stopping: Cell::new(false),
+            scout: Cell::new(true),
+            suspect: [Notify::new(), Notify::new()],
         }
     }
 
@@ -98,10 +104,13 @@
     // Configuration and targets
 
     /// Takes a configuration that `from` offers.
-    pub fn offer(&self, document: CatalogDocument, from: &str) {
+    ///
+    /// Returns whether it is in force now.
+    pub fn offer(&self, document: CatalogDocument, from: &str) -> bool {
         let before = self.catalogs.borrow().version().0;
         let version = document.version.0;
         let offered = self.catalogs.borrow_mut().offer(document);
+        let accepted = offered == Offered::Accepted;
         match offered {
             Offered::Accepted => {
                 self.log.write(
@@ -127,16 +136,18 @@
                 );
             }
         }
+        accepted
     }
 
-    /// Takes a whole list of targets.
-    pub fn replace_targets(&self, at: Revision, table: TargetTable, from: &str) {
+    /// Takes a whole list of targets. Returns whether it is another one than before.
+    pub fn replace_targets(&self, at: Revision, table: TargetTable, from: &str) -> bool {
         let first = !self.targets_known.replace(true);
         let changed = self.targets.borrow_mut().replace(self.now(), at, table);
         self.list_stands_at();
         if changed || first {
             self.targets_changed(from);
         }
+        changed
     }
 
     /// Takes changes that the source told.
@@ -144,7 +155,9 @@
         let mut target_changes = Vec::new();
         for change in changes {
             match change {
-                SourceChange::Configuration(document) => self.offer(*document, "source"),
+                SourceChange::Configuration(document) => {
+                    self.offer(*document, "source");
+                }
                 SourceChange::Target(entry) => target_changes.push(TargetChange::Put(entry)),
                 SourceChange::TargetGone(id) => target_changes.push(TargetChange::Gone(id)),
                 SourceChange::Malformed { key, cause } => self.skipped(&key, &cause),
@@ -171,7 +184,7 @@
     }
 
     fn list_stands_at(&self) {
-        let at = self.targets.borrow().at;
+        let at = self.targets.borrow().changed_at;
         self.step_members(MemberEvent::List(at));
     }
 
@@ -227,6 +240,33 @@
         }
     }
 
+    /// Another node had something newer than this one: unless the feed is known to fail, its watch hears nothing.
+    pub fn overtaken(&self, feed: Feed) {
+        if self.failing.borrow()[feed as usize].is_none() {
+            self.suspect[feed as usize].notify_one();
+        }
+    }
+
+    /// Waits until the watch of a feed may hear nothing any more, or should be a shorter one.
+    pub async fn watch_suspect(&self, feed: Feed) {
+        self.suspect[feed as usize].notified().await;
+    }
+
+    /// Whether this node watches the feeds for a short time only.
+    pub fn is_scout(&self) -> bool {
+        self.scout.get()
+    }
+
+    /// Takes over a scout's part from a node that has gone: the long watches of before end.
+    fn take_scout(&self, plan: &ForwardPlan) {
+        let members = plan.members.iter().map(|member| member.key);
+        let scout = is_scout(members, plan.me);
+        if scout && !self.scout.replace(scout) {
+            self.suspect.iter().for_each(Notify::notify_one);
+        }
+        self.scout.set(scout);
+    }
+
     /// Whether other nodes should be asked for what the source does not tell.
     pub fn source_lost(&self) -> bool {
         let now = self.now();
@@ -297,6 +337,7 @@
         );
         self.outbox_filled.notify_one();
         let plan = self.plan();
+        self.take_scout(&plan);
         self.shared.plan.store(Arc::new(plan));
         self.shared.plan_changed.send_modify(|count| *count += 1);
     }
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -174,6 +174,8 @@
 pub enum SourceError {
     /// the source has forgotten its history
     HistoryGone,
+    /// another node knows what this watch should have told
+    Overtaken,
     /// the source refused: status {0}
     Refused(u16),
     /// the source cannot be reached: {0}
