A call's priority is that of its organisation, then that of its route

Hypothesis: ranking by both, organisations first, gives scarce places to what is worth more. Test: forward_catalog::organisations_go_before_routes_and_routes_tell_apart_what_one_of_them_sends (new function, so not seen red).

--- a/crates/barleyspool_core/src/forward/catalog.rs
+++ b/crates/barleyspool_core/src/forward/catalog.rs
@@ -2,7 +2,7 @@
 
 use crate::{Revision, Span};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Whether a call may run again.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -235,6 +235,8 @@
     routes_by_host: HashMap<String, Vec<usize>>,
     services_by_name: HashMap<String, usize>,
     holders_by_key: HashMap<String, usize>,
+    /// The priorities that calls can have, the most important first: that of the organisation, then that of the route.
+    ranks: BTreeSet<(u8, u8)>,
 }
 
 impl Catalog {
@@ -279,11 +281,13 @@
             .enumerate()
             .flat_map(|(place, holder)| holder.keys.iter().map(move |key| (key.clone(), place)))
             .collect();
+        let ranks = ranks(&document);
         Ok(Self {
             document,
             routes_by_host,
             services_by_name,
             holders_by_key,
+            ranks,
         })
     }
 
@@ -317,12 +321,41 @@
         self.document.holders.get(*place)
     }
 
+    /// The place of a call among all that the configuration knows; 0 is the most important. Organisations go before
+    /// routes, and what one organisation sends is told apart by its routes.
+    pub fn rank(&self, holder: Option<&KeyHolder>, route: &Route) -> u8 {
+        let rank = rank_pair(holder, route);
+        let before = self.ranks.range(..rank).count();
+        u8::try_from(before).unwrap_or(u8::MAX)
+    }
+
     /// Whether calls need a key at all.
     pub fn keyed(&self) -> bool {
         !self.document.holders.is_empty()
     }
 }
 
+fn rank_pair(holder: Option<&KeyHolder>, route: &Route) -> (u8, u8) {
+    let first = holder.and_then(|holder| holder.rank).unwrap_or(route.rank);
+    (first, route.rank)
+}
+
+fn ranks(document: &CatalogDocument) -> BTreeSet<(u8, u8)> {
+    // Whether organisations have priorities does not depend on the route, so few pairs come of many of both.
+    let holders: BTreeSet<Option<u8>> = document
+        .holders
+        .iter()
+        .map(|holder| holder.rank)
+        .chain([None])
+        .collect();
+    let routes: BTreeSet<u8> = document.routes.iter().map(|route| route.rank).collect();
+    let pairs = |route: u8| {
+        let first = move |holder: &Option<u8>| (holder.unwrap_or(route), route);
+        holders.iter().map(first).collect::<Vec<_>>()
+    };
+    routes.into_iter().flat_map(pairs).collect()
+}
+
 fn route_faults(
     route: &Route,
     services: &HashMap<String, usize>,
--- a/crates/barleyspool_core/tests/forward_catalog.rs
+++ b/crates/barleyspool_core/tests/forward_catalog.rs
@@ -202,3 +202,35 @@
     cursor.start_over();
     assert_eq!(cursor.next_step(), FeedStep::Read);
 }
+
+/// Organisations of one priority sent calls of all kinds, and nothing told the most from the least important of them.
+#[test]
+fn organisations_go_before_routes_and_routes_tell_apart_what_one_of_them_sends() {
+    let route = |rank: u8| Route {
+        rank,
+        ..route("r", "a.example", "/")
+    };
+    let holder = |rank: Option<u8>| KeyHolder {
+        rank,
+        ..KeyHolder::default()
+    };
+    let document = CatalogDocument {
+        holders: vec![holder(Some(1)), holder(Some(3))],
+        ..document(1, vec![route(0), route(2)])
+    };
+    let catalog = Catalog::accept(document).expect("it is right");
+    let rank = |organisation: Option<u8>, kind: u8| catalog.rank(Some(&holder(organisation)), &route(kind));
+    let order = [
+        rank(Some(1), 0),
+        rank(Some(1), 2),
+        rank(Some(3), 0),
+        rank(Some(3), 2),
+    ];
+    assert!(order.is_sorted_by(|one, other| one < other), "{order:?}");
+    assert_eq!(
+        rank(None, 0),
+        0,
+        "without a priority of its own its route's counts"
+    );
+    assert!(rank(None, 2) > order[1] && rank(None, 2) < order[2]);
+}
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -45,7 +45,7 @@
     pub engine_memory: Option<u64>,
     /// The organisation that its key belongs to.
     pub organisation: String,
-    /// Its priority.
+    /// Its place among the priorities of the configuration; 0 is the most important.
     pub rank: u8,
     /// When it came.
     pub arrived: Time,
@@ -132,7 +132,7 @@
     }
     Ok(Taken {
         organisation: holder.map(|holder| holder.name.clone()).unwrap_or_default(),
-        rank: holder.and_then(|holder| holder.rank).unwrap_or(route.rank),
+        rank: catalog.rank(holder, &route),
         head,
         route,
         catalog,
