A stage beside a longer chain starts when as little follows the chain

Cause: results of 1.5 MB that only the call itself reads were made at once, while three other stages of the call took more than a second; a pool with room for twelve of them a target was full of results that nobody read yet. Test: forward_stages::a_stage_beside_a_longer_chain_waits_until_as_little_follows_the_chain, red before.

--- a/crates/barleyspool_core/src/forward/stage_run.rs
+++ b/crates/barleyspool_core/src/forward/stage_run.rs
@@ -5,7 +5,7 @@
 /// How often the results of a call may be lost and made anew.
 const MOST_REDONE: u32 = 2;
 
-/// A stage that can start now.
+/// A stage that starts now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReadyStage {
     /// Its place in the route.
@@ -55,10 +55,11 @@
         }
     }
 
-    /// Takes the stages that can start; each is named once.
+    /// Takes the stages that are to start now; each is named once.
     pub fn start_ready(&mut self) -> Vec<ReadyStage> {
         let ready: Vec<usize> = (0..self.specs.len())
             .filter(|&stage| self.progress[stage] == Progress::Waiting && self.inputs(stage).is_some())
+            .filter(|&stage| self.is_due(stage))
             .collect();
         ready
             .into_iter()
@@ -74,6 +75,16 @@
             .collect()
     }
 
+    /// Whether it is time for a stage whose inputs are there. One that is followed by fewer stages than another that is
+    /// still open would be done too early: its results would take room at their makers for as long as the longer
+    /// chain takes, and for nothing when that fails. The longest open chain is never held, so this cannot stall.
+    fn is_due(&self, stage: usize) -> bool {
+        let own = self.depth_after(stage);
+        let open = |other: &usize| !matches!(self.progress[*other], Progress::Done(_));
+        let mut open = (0..self.specs.len()).filter(open);
+        open.all(|other| self.depth_after(other) <= own)
+    }
+
     fn inputs(&self, stage: usize) -> Option<Vec<String>> {
         let mut inputs = Vec::new();
         for &needed in &self.specs[stage].needs {
--- a/crates/barleyspool_core/tests/forward_stages.rs
+++ b/crates/barleyspool_core/tests/forward_stages.rs
@@ -73,3 +73,17 @@
     let depths: Vec<usize> = (0..4).map(|stage| run.depth_after(stage)).collect();
     assert_eq!(depths, [0, 2, 1, 0]);
 }
+
+/// Large results that only the call reads were made at once and filled their makers while a longer chain went on.
+#[test]
+fn a_stage_beside_a_longer_chain_waits_until_as_little_follows_the_chain() {
+    let mut run = StageRun::new(&[spec(&[]), spec(&[]), spec(&[1]), spec(&[2])], &[1, 1, 1, 1]);
+    assert_eq!(started(&mut run), [1], "two stages follow it, and none the first");
+    run.complete(1, names("b", 1));
+    assert_eq!(started(&mut run), [2]);
+    run.complete(2, names("c", 1));
+    assert_eq!(started(&mut run), [0, 3], "now both are the last before the call");
+    // Without the chain there is nothing to wait for.
+    let mut alone = StageRun::new(&[spec(&[]), spec(&[]), spec(&[1])], &[1, 0, 0]);
+    assert_eq!(started(&mut alone), [0]);
+}
