Forecasts are corrected by what the calls of a route took

It does not know of more urgent orders that come, of missing room, of two owners. Hypothesis: the ratio of the last calls of a route corrects all of these, and refuses at once what would be late.

--- a/crates/barleyspool_core/src/forward/catalog.rs
+++ b/crates/barleyspool_core/src/forward/catalog.rs
@@ -2,7 +2,7 @@
 
 use crate::{Revision, Span};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// Whether a call may run again.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -233,6 +233,7 @@
     /// What it was made of.
     pub document: CatalogDocument,
     routes_by_host: HashMap<String, Vec<usize>>,
+    route_names: HashSet<String>,
     services_by_name: HashMap<String, usize>,
     holders_by_key: HashMap<String, usize>,
     /// The priorities that calls can have, the most important first: that of the organisation, then that of the route.
@@ -282,9 +283,11 @@
             .flat_map(|(place, holder)| holder.keys.iter().map(move |key| (key.clone(), place)))
             .collect();
         let ranks = ranks(&document);
+        let route_names = document.routes.iter().map(|route| route.name.clone()).collect();
         Ok(Self {
             document,
             routes_by_host,
+            route_names,
             services_by_name,
             holders_by_key,
             ranks,
@@ -309,6 +312,11 @@
             .find(|route| path.starts_with(&route.path))
     }
 
+    /// Whether there is a route of that name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.route_names.contains(name)
+    }
+
     /// The service of that name.
     pub fn service(&self, name: &str) -> Option<&ForwardService> {
         let place = self.services_by_name.get(name)?;
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/stage_pace.rs
@@ -0,0 +1,47 @@
+//! How much longer the stages of calls take than was forecast, by route.
+
+use crate::Span;
+use std::collections::HashMap;
+
+/// How much a call moves the average of its route: a node sees a few calls of a route each second, and loads change
+/// within seconds.
+const GAIN: f64 = 0.1;
+/// The least and the most that one call may say; a call that a lost answer held up says nothing of the next one.
+const RANGE: (f64, f64) = (0.5, 4.0);
+
+/// How much longer the stages of calls take than was forecast, by route. A forecast knows what waited a moment ago, at
+/// full calls; it does not know what more urgent orders come, what room is short, or that two nodes own a pool for a
+/// moment. All of these show in what the calls of the last seconds took (docs/DECISIONS.md).
+#[derive(Clone, Debug, Default)]
+pub struct StagePace {
+    by_route: HashMap<String, f64>,
+}
+
+impl StagePace {
+    /// The time that stages for which `forecast` was reckoned are expected to take. Calls that were faster than
+    /// forecast are no reason to take more.
+    pub fn corrected(&self, route: &str, forecast: Span) -> Span {
+        let pace = self.by_route.get(route).copied().unwrap_or(1.0);
+        forecast.scale(pace.max(1.0))
+    }
+
+    /// The stages of a call of that route are done.
+    pub fn done(&mut self, route: &str, forecast: Span, took: Span) {
+        if forecast == Span::ZERO {
+            return;
+        }
+        let relative = (took.0 as f64 / forecast.0 as f64).clamp(RANGE.0, RANGE.1);
+        match self.by_route.get_mut(route) {
+            Some(pace) => *pace += GAIN * (relative - *pace),
+            None => {
+                self.by_route
+                    .insert(route.to_owned(), 1.0 + GAIN * (relative - 1.0));
+            }
+        }
+    }
+
+    /// Forgets the routes that are not `known` any more.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.by_route.retain(|route, _| known(route));
+    }
+}
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -107,10 +107,21 @@
     }
     let last = stages.into_iter().max_by_key(Forecast::total);
     let mut whole = last.unwrap_or_default();
+    let reckoned = whole.total();
+    call.stage_forecast.set(reckoned);
+    let corrected = call.traffic.pace.borrow().corrected(&call.route.name, reckoned);
+    whole.wait += Span(corrected.0 - reckoned.0);
     whole.base += call.first_time();
     whole
 }
 
+/// The stages of a call are done; what they took corrects the forecasts of the next calls.
+pub fn stages_done(call: &Call) {
+    let took = call.traffic.now().since(call.arrived);
+    let mut pace = call.traffic.pace.borrow_mut();
+    pace.done(&call.route.name, call.stage_forecast.take(), took);
+}
+
 /// When a stage is expected to be done that starts at `start`.
 fn after_stage(call: &Call, plan: &ForwardPlan, stage: usize, start: Forecast) -> Forecast {
     let service = &call.route.stages[stage].service;
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -71,6 +71,8 @@
     pub catalog: Arc<Catalog>,
     /// The pieces that it will still bring to pools; `None` before it is taken.
     pub planned: RefCell<Option<PlannedPieces>>,
+    /// How long its stages were forecast to take, before the correction by what others took.
+    pub stage_forecast: Cell<Span>,
 }
 
 /// What a call is, before its body has been read.
@@ -197,6 +199,7 @@
         input_zone: RefCell::default(),
         catalog: taken.catalog,
         planned: RefCell::default(),
+        stage_forecast: Cell::new(Span::ZERO),
     }
 }
 
@@ -255,6 +258,7 @@
     let mut run = StageRun::new(&call.route.stages, &call.head.pieces);
     loop {
         stages::run(&call, &mut run, &mut results).await?;
+        admission::stages_done(&call);
         match final_send::answer(&call, &guard, &run, results).await? {
             final_send::Outcome::Answered(response) => return Ok(response),
             final_send::Outcome::InputsGone(kept) => {
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -18,7 +18,7 @@
 use crate::edges::Edges;
 use crate::event_log::EventLog;
 use crate::shared::Shared;
-use barleyspool_core::{Counter, Counters, ForwardPlan, Forwarder, Time};
+use barleyspool_core::{Counter, Counters, ForwardPlan, Forwarder, StagePace, Time};
 use connections::Connections;
 use peers::{Owner, Peers};
 use placement::Placements;
@@ -61,6 +61,8 @@
     pub placements: RefCell<Placements>,
     /// Pieces that calls which were taken here will still bring to each pool.
     pub planned: RefCell<HashMap<String, u64>>,
+    /// How much longer stages take than was forecast.
+    pub pace: RefCell<StagePace>,
 }
 
 impl Traffic {
@@ -83,6 +85,9 @@
         let plan = self.shared.plan.load_full();
         self.forwarder.borrow_mut().take_plan(&plan);
         self.pools.take_plan(&plan);
+        if let Some(catalog) = &plan.catalog {
+            self.pace.borrow_mut().retain(|route| catalog.has_route(route));
+        }
         *self.plan.borrow_mut() = plan;
         for (id, pool) in self.pools.all() {
             if self.peers.owner(self, &id) != Owner::Me {
@@ -114,6 +119,7 @@
         held_bodies: Cell::new(0),
         placements: RefCell::default(),
         planned: RefCell::default(),
+        pace: RefCell::default(),
     });
     traffic.take_plan();
     spawn_local(callers::serve(Rc::clone(&traffic), callers));
