An engine that does not hold a prompt's shared beginning takes it from one that does

Tests: forward_choice::an_engine_that_does_not_hold_a_prefix_is_told_which_one_does, edges.rs. The choice of the engine is as before; only who sends the beginning is new.

--- a/crates/barleyspool_core/src/forward/catalog.rs
+++ b/crates/barleyspool_core/src/forward/catalog.rs
@@ -81,6 +81,8 @@
     pub slots: u32,
     /// Tokens that fit into one engine's memory.
     pub memory_tokens: u64,
+    /// Whether engines can take from each other what they keep of a prompt.
+    pub copies: bool,
 }
 
 /// What is known of a stage pool, for each of its targets.
--- a/crates/barleyspool_core/src/forward/choice.rs
+++ b/crates/barleyspool_core/src/forward/choice.rs
@@ -20,6 +20,8 @@
 const FAILING_TOKENS: f64 = 20_000.0;
 /// What a plain target that fails every call has to be better by, in times of an answer.
 const FAILING_TIMES: f64 = 4.0;
+/// An engine that fails more than this share of its calls is not one to take a prompt from.
+const MOST_FAILING: f64 = 0.2;
 /// Differences in the time of an answer below this share say nothing.
 const SCORE_STEP: f64 = 0.1;
 /// When to come back when every target is busy or away.
@@ -50,6 +52,10 @@
             Some(memory) => self.choose_engine(now, need, memory, &usable),
             None => self.choose_plain(now, need, &usable),
         };
+        let source = need
+            .engine_memory
+            .filter(|_| need.copies)
+            .and_then(|memory| self.prefix_source(now, need, memory, &usable, chosen));
         let Some(record) = self.targets.get(chosen) else {
             return Choose::Busy(BUSY_WAIT);
         };
@@ -57,6 +63,7 @@
             target: chosen,
             id: record.entry.id.clone(),
             address: record.entry.address.clone(),
+            source,
         })
     }
 
@@ -136,6 +143,28 @@
         f64::from(need.prefix_tokens) * (1.0 - held)
     }
 
+    /// The address of the engine from which the chosen one should take the shared beginning of a prompt: one that was
+    /// sent it lately, or else its home. That costs a tenth of reading it again, but it is no reason to choose another
+    /// engine: with it in the choice prompts were spread, and moved, far more often (docs/DECISIONS.md).
+    fn prefix_source(
+        &self,
+        now: Time,
+        need: &Need,
+        memory: u64,
+        usable: &[TargetKey],
+        chosen: TargetKey,
+    ) -> Option<String> {
+        let home = self.prefix_home(need.prefix, usable)?;
+        let holds = |key: &TargetKey| self.targets[*key].prefixes.holds(now, need.prefix, memory);
+        if holds(&chosen) {
+            return None;
+        }
+        let sound = |key: &&TargetKey| self.targets[**key].failing_now(now) < MOST_FAILING;
+        let held = usable.iter().filter(sound).find(|key| holds(key));
+        let source = held.copied().unwrap_or(home);
+        (source != chosen).then(|| self.targets[source].entry.address.clone())
+    }
+
     /// The target at which all nodes let calls with the same prefix meet. Zones do not matter: reading a long
     /// prefix in each zone costs more than inputs that cross them.
     fn prefix_home(&self, prefix: u64, usable: &[TargetKey]) -> Option<TargetKey> {
--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -169,6 +169,7 @@
             target: key,
             id: record.entry.id.clone(),
             address: record.entry.address.clone(),
+            source: None,
         })
     }
 
--- a/crates/barleyspool_core/src/forward/need.rs
+++ b/crates/barleyspool_core/src/forward/need.rs
@@ -24,6 +24,8 @@
     pub input_bytes: u64,
     /// Targets that failed it already.
     pub avoid: Vec<TargetKey>,
+    /// Whether an engine can take the shared beginning of its prompt from another one.
+    pub copies: bool,
     /// Set when this node places the calls of all nodes at the engines of a shard.
     pub placing: Option<Shard>,
 }
@@ -54,6 +56,8 @@
     pub id: String,
     /// IP number and port.
     pub address: String,
+    /// The address of an engine that most likely holds the shared beginning of the prompt, when this one does not.
+    pub source: Option<String>,
 }
 
 /// An answer of [`crate::Forwarder::choose`].
--- a/crates/barleyspool_core/tests/forward_choice.rs
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -236,3 +236,37 @@
         assert_eq!(holders, 1, "{id}");
     }
 }
+
+/// Reading a long prompt again costs ten times what taking it from an engine that holds it does.
+#[test]
+fn an_engine_that_does_not_hold_a_prefix_is_told_which_one_does() {
+    let mut forwarder = forwarder(1, 6);
+    let need = Need {
+        copies: true,
+        ..engine_need(7)
+    };
+    let first = choose(&mut forwarder, at(0), &need);
+    assert_eq!(first.source, None, "the home is the one to read it");
+    forwarder.begin(at(0), &need, first.target);
+    // An engine that is busy reading is passed over in the end, and the next one holds nothing of the prompt.
+    let mut held = vec![first.address.clone()];
+    let mut told = 0;
+    for _ in 0..8 {
+        let chosen = choose(&mut forwarder, at(1), &need);
+        forwarder.begin(at(1), &need, chosen.target);
+        let holds = held.contains(&chosen.address);
+        assert_eq!(chosen.source.is_none(), holds, "{chosen:?}");
+        if let Some(source) = chosen.source {
+            assert!(held.contains(&source), "{source} was never sent it");
+            told += 1;
+        }
+        held.push(chosen.address);
+    }
+    assert!(told > 0, "all eight went to one engine");
+    let alone = Need {
+        copies: false,
+        avoid: vec![first.target],
+        ..need
+    };
+    assert_eq!(choose(&mut forwarder, at(3), &alone).source, None);
+}
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -50,6 +50,8 @@
     pub inputs: Vec<String>,
     /// The last event that the caller has, when a stream goes on.
     pub resume_after: Option<u64>,
+    /// The address of an engine that most likely holds the shared beginning of the prompt.
+    pub source: Option<String>,
 }
 
 /// What a target says in the head of its answer.
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -43,6 +43,8 @@
     pub service: String,
     /// Tokens that fit into one engine of that service, when engines serve it.
     pub engine_memory: Option<u64>,
+    /// Whether these engines can take the shared beginning of a prompt from each other.
+    pub copies: bool,
     /// The organisation that its key belongs to.
     pub organisation: String,
     /// Its place among the priorities of the configuration; 0 is the most important.
@@ -182,6 +184,7 @@
     Call {
         traffic: Rc::clone(traffic),
         engine_memory: engine.map(|engine| engine.memory_tokens),
+        copies: engine.is_some_and(|engine| engine.copies),
         service,
         deadline: arrived + patience(&taken.head, &taken.route),
         head: taken.head,
@@ -285,6 +288,7 @@
             zone: self.input_zone.borrow().clone(),
             input_bytes: self.input_bytes(),
             avoid: self.avoid.borrow().clone(),
+            copies: self.copies,
             placing: None,
         }
     }
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -388,6 +388,7 @@
         rank: call.engine_memory.map(|_| call.rank),
         inputs: inputs.to_vec(),
         resume_after,
+        source: chosen.source.clone(),
     };
     (call.traffic.edges.target.prepare)(&mut headers, &head);
     *request.headers_mut() = headers;
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -6,7 +6,7 @@
 use barleyspool_core::{OrderEnd, PieceOrder, Span, Time, rendezvous};
 use barleyspool_wire::net;
 use barleyspool_wire::pieces::{
-    self, Pieces, PiecesClient, PlaceRequest, PlaceStep, RemoteEnd, RemoteOrder, RemoteRelease,
+    self, Pieces, PiecesClient, PlaceRequest, PlaceStep, Placed, RemoteEnd, RemoteOrder, RemoteRelease,
 };
 use futures::StreamExt;
 use std::cell::{Cell, RefCell};
@@ -38,7 +38,7 @@
     /// Free results.
     Release(RemoteRelease),
     /// Choose an engine.
-    Place(PlaceRequest, oneshot::Sender<Option<String>>),
+    Place(PlaceRequest, oneshot::Sender<Option<Placed>>),
     /// A placed call goes on.
     Placed(String, PlaceStep),
 }
@@ -193,7 +193,7 @@
 
 impl Peers {
     /// Lets another node choose an engine.
-    pub async fn place(&self, address: &str, request: PlaceRequest) -> Option<String> {
+    pub async fn place(&self, address: &str, request: PlaceRequest) -> Option<Placed> {
         let link = self.link(address).await?;
         link.client
             .place(context::current(), request)
@@ -251,7 +251,7 @@
         let _ = self.jobs.send(PeerJob::Release(release));
     }
 
-    async fn place(self, _: Context, request: PlaceRequest) -> Option<String> {
+    async fn place(self, _: Context, request: PlaceRequest) -> Option<Placed> {
         let (reply, placed) = oneshot::channel();
         self.jobs.send(PeerJob::Place(request, reply)).ok()?;
         placed.await.ok().flatten()
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -9,7 +9,7 @@
 use super::peers::Owner;
 use super::pools::PoolId;
 use barleyspool_core::{Choose, Chosen, Need, SendEnd, SendKey, Shard, Time, rendezvous};
-use barleyspool_wire::pieces::{PlaceRequest, PlaceStep};
+use barleyspool_wire::pieces::{PlaceRequest, PlaceStep, Placed};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -106,7 +106,12 @@
         first_output: false,
         ended: false,
     };
-    let chosen = traffic.forwarder.borrow_mut().usable(traffic.now(), &placed?)?;
+    let placed = placed?;
+    let mut chosen = traffic
+        .forwarder
+        .borrow_mut()
+        .usable(traffic.now(), &placed.target)?;
+    chosen.source = placed.source;
     Some((chosen, placement))
 }
 
@@ -141,6 +146,7 @@
         prompt_tokens: need.prompt_tokens,
         zone: call.zone_of_inputs(),
         input_bytes: need.input_bytes,
+        copies: need.copies,
     })
 }
 
@@ -154,7 +160,7 @@
 // As the owner
 
 /// Chooses an engine for a call of any node.
-pub fn place_here(traffic: &Traffic, request: &PlaceRequest) -> Option<String> {
+pub fn place_here(traffic: &Traffic, request: &PlaceRequest) -> Option<Placed> {
     let now = traffic.now();
     let shard = Shard {
         number: request.shard,
@@ -172,6 +178,7 @@
         zone: request.zone.clone(),
         input_bytes: request.input_bytes,
         avoid,
+        copies: request.copies,
         placing: Some(shard),
     };
     let Choose::Send(chosen) = forwarder.choose(now, &need) else {
@@ -190,7 +197,10 @@
             keep
         });
     }
-    Some(chosen.id)
+    Some(Placed {
+        target: chosen.id,
+        source: chosen.source,
+    })
 }
 
 /// A call that was placed here goes on.
--- a/crates/barleyspool_wire/src/pieces.rs
+++ b/crates/barleyspool_wire/src/pieces.rs
@@ -70,6 +70,18 @@
     pub input_bytes: u64,
     /// Ids of targets that failed it already.
     pub avoid: Vec<String>,
+    /// Whether an engine can take the shared beginning of its prompt from another one.
+    pub copies: bool,
+}
+
+/// The engine that an owner chose for a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(crate = "tarpc::serde")]
+pub struct Placed {
+    /// Its id.
+    pub target: String,
+    /// The address of an engine that most likely holds the shared beginning of the prompt, when this one does not.
+    pub source: Option<String>,
 }
 
 /// How a placed call goes on.
@@ -92,7 +104,7 @@
     /// Frees results.
     async fn release(release: RemoteRelease);
     /// Chooses an engine for a call; none when no engine is usable.
-    async fn place(request: PlaceRequest) -> Option<String>;
+    async fn place(request: PlaceRequest) -> Option<Placed>;
     /// Tells how a placed call goes on.
     async fn placed(call: String, step: PlaceStep);
     /// Answers, so that the asking node sees that this one is there.
