A head has the time for heads, and a settings file is read again when it changes without a signal

Cause: the HTTP library knows one time for a connection at rest and for a head that has begun, so a slow head had the idle time. The first bytes of a head are noted where they are read; what is read during an answer is none. The settings file's time of writing is looked at every 3 s. Tests: calls::a_head_has_less_time_than_a_connection_at_rest (3.0 s before) and fleet::a_settings_file_that_changes_without_a_signal_is_read_again were red before; calls::a_head_that_comes_during_an_answer_cuts_nothing guards the mend.

--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -23,6 +23,8 @@
     RetryDenied,
     /// Answers that did not name their own request, step and attempt.
     Misdirected,
+    /// Connections that were closed because the head of a call came too slowly.
+    SlowHead,
     /// Answers that came after their attempt had been given up.
     Late,
     /// Streams whose offsets left a gap.
@@ -57,6 +59,7 @@
             Self::Retried(_) => "retried",
             Self::RetryDenied => "retry_denied",
             Self::Misdirected => "misdirected",
+            Self::SlowHead => "slow_head",
             Self::Late => "late",
             Self::Gap => "gap",
             Self::Joined => "joined",
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -59,6 +59,6 @@
     let edge = Rc::new(edge);
     spawn_local(directory::serve(Rc::clone(&state), Rc::clone(&edge), ports.ready));
     spawn_local(directory::serve(Rc::clone(&state), edge, ports.directory));
-    spawn_local(stop::reload_on_signal(Rc::clone(&state), file));
+    spawn_local(stop::reload(Rc::clone(&state), file));
     stop::stop_on_signal(state).await;
 }
--- a/crates/barleyspool_gateway/src/control/stop.rs
+++ b/crates/barleyspool_gateway/src/control/stop.rs
@@ -4,15 +4,22 @@
 use crate::event_log::Line;
 use crate::settings::GatewaySettings;
 use barleyspool_core::MemberEvent;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// How often the settings file is looked at; one call to the operating system each time.
+const SETTINGS_LOOK: Duration = Duration::from_secs(3);
 /// How often a stopping node looks whether its calls are done.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// When a file was written; `None` while it is not there, as when it is being replaced.
+fn written_at(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|file| file.modified()).ok()
+}
+
 /// Waits for SIGTERM or SIGINT, then stops in order: not ready and out of the others' answers at once; calls
 /// are taken a while longer from callers that still have the address; then what is in flight is finished.
 pub async fn stop_on_signal(state: Rc<ControlState>) {
@@ -51,13 +58,24 @@
     std::process::exit(0);
 }
 
-/// Reads the settings again on SIGHUP. Seeds come into force; whatever else changed waits for a restart. A bad
-/// file is refused whole.
-pub async fn reload_on_signal(state: Rc<ControlState>, file: PathBuf) {
+/// Reads the settings again on SIGHUP, and when their file has changed without one. Seeds come into force; whatever
+/// else changed waits for a restart. A bad file is refused whole.
+pub async fn reload(state: Rc<ControlState>, file: PathBuf) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         return;
     };
-    while hangup.recv().await.is_some() {
+    let mut read_at = written_at(&file);
+    loop {
+        tokio::select! {
+            signal = hangup.recv() => if signal.is_none() { return },
+            () = tokio::time::sleep(SETTINGS_LOOK) => {
+                let now = written_at(&file);
+                if now.is_none() || now == read_at {
+                    continue;
+                }
+            }
+        }
+        read_at = written_at(&file);
         let loaded = GatewaySettings::load(&file);
         let cause = loaded.as_ref().err().map(ToString::to_string).unwrap_or_default();
         let line = Line::Reloaded {
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     Counter::Retried(RetryReason::Refused),
     Counter::RetryDenied,
     Counter::Misdirected,
+    Counter::SlowHead,
     Counter::Cancelled,
     Counter::Quarantined,
 ];
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -2,7 +2,8 @@
 
 use super::Traffic;
 use super::call;
-use barleyspool_core::{CallerLimits, Span};
+use super::head_watch::{HeadWatch, WatchedBody, WatchedIo};
+use barleyspool_core::{CallerLimits, Counter, Span};
 use barleyspool_wire::net;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -36,17 +37,26 @@
 async fn serve_caller(traffic: Rc<Traffic>, stream: TcpStream) {
     let limits = limits(&traffic);
     let stopping = traffic.plan().stopping;
+    let heads = Rc::new(HeadWatch::default());
+    let io = WatchedIo {
+        io: TokioIo::new(stream),
+        watch: Rc::clone(&heads),
+    };
     let service = service_fn(|request| {
         let traffic = Rc::clone(&traffic);
-        async move { Ok::<_, Infallible>(call::serve(traffic, request).await) }
+        let mark = heads.call();
+        async move {
+            let response = call::serve(traffic, request).await;
+            Ok::<_, Infallible>(response.map(|body| WatchedBody { body, mark }))
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(!stopping)
-        // Callers may take a rested connection up again until the idle time; a head has that long too.
+        // Callers may take a rested connection up again until the idle time; a head that has begun is watched apart.
         .header_read_timeout(duration(limits.idle_time))
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     let mut plans = traffic.shared.plan_changed.subscribe();
     let mut closing = stopping;
@@ -54,6 +64,10 @@
         tokio::select! {
             // A caller that goes away ends its connection; what it waited for has been dropped with it.
             _ = connection.as_mut() => return,
+            () = heads.overdue(duration(limits.head_time)) => {
+                traffic.count(Counter::SlowHead);
+                return;
+            }
             Ok(()) = plans.changed(), if !closing => {
                 closing = traffic.shared.plan.load().stopping;
                 if closing {
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod connections;
 mod final_send;
+mod head_watch;
 mod peers;
 mod placement;
 mod pool;
