--- a/crates/barleyspool_core/src/forward/catalog.rs
+++ b/crates/barleyspool_core/src/forward/catalog.rs
@@ -1,5 +1,6 @@
 //! Routes, services and keys for forwarded calls, checked whole before they are in force.
 
+use super::ForwardService;
 use crate::{Revision, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -74,67 +75,6 @@
     }
 }
 
-/// What is known of a service of model engines.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct EngineSpec {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
-    /// Tokens that fit into one engine's memory.
-    pub memory_tokens: u64,
-    /// Whether engines can take from each other what they keep of a prompt.
-    pub copies: bool,
-}
-
-/// What is known of a stage pool, for each of its targets.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PoolSpec {
-    /// Calls that it works on at once.
-    pub slots: u32,
-    /// Calls that may wait there.
-    pub queue: u32,
-    /// Pieces of one call.
-    pub batch: u32,
-    /// What a call takes apart from its pieces.
-    pub call: Span,
-    /// What one piece adds; approximate.
-    pub item: Span,
-    /// Room for results, in bytes.
-    pub room: u64,
-    /// How long a result is kept after its call.
-    pub hold: Span,
-    /// What its link carries, in megabits a second; 0 when not known.
-    pub link_mbps: u64,
-}
-
-/// How long a target that was sent a call is given to fetch inputs, besides the time on the link.
-const FETCH_LEAST: Span = Span::from_millis(120);
-/// The time on the link is reckoned this many times, since others use it too.
-const FETCH_SHARE: u64 = 4;
-
-impl PoolSpec {
-    /// How long results of `bytes` are kept for a target that was sent a call which needs them. `None` when the
-    /// link is not known: then its first output shows that it has them.
-    pub fn fetch_time(&self, bytes: u64) -> Option<Span> {
-        let on_link = (bytes * 8).checked_div(self.link_mbps)?;
-        Some(FETCH_LEAST + Span(on_link * FETCH_SHARE))
-    }
-}
-
-/// A service as forwarded calls need it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ForwardService {
-    /// Its name, as the target list uses it.
-    pub name: String,
-    /// Where a target tells whether it is well.
-    pub health_path: String,
-    /// Connections that one target accepts from all nodes together.
-    pub max_connections: u32,
-    /// Set when model engines serve it.
-    pub engine: Option<EngineSpec>,
-    /// Set when it is a stage pool.
-    pub pool: Option<PoolSpec>,
-}
-
 /// Bounds on what a caller may send.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -16,12 +16,14 @@
 mod piece_order;
 mod piece_pick;
 mod piece_queue;
+mod piece_time;
 mod plan;
 mod pool_target;
 mod pool_wait;
 mod prefix_memory;
 mod retry_window;
 mod send_end;
+mod service_spec;
 mod source_store;
 mod stage_pace;
 mod stage_run;
@@ -30,8 +32,7 @@
 
 pub use call_head::{CallHead, PromptPart};
 pub use catalog::{
-    CallerLimits, Catalog, CatalogDocument, CatalogFault, EngineSpec, ForwardService, KeyHolder, PoolSpec,
-    Route, RouteKind, Share, StageSpec,
+    CallerLimits, Catalog, CatalogDocument, CatalogFault, KeyHolder, Route, RouteKind, Share, StageSpec,
 };
 pub use feed_cursor::{FeedCursor, FeedStep, WATCH_MARGIN, is_scout, watch_time};
 pub use forwarder::{ForwardSettings, Forwarder, SendKey};
@@ -46,6 +47,7 @@
 pub use prefix_memory::PrefixMemory;
 pub use retry_window::RetryWindow;
 pub use send_end::{NextStep, SendEnd, SendHistory, next_step};
+pub use service_spec::{EngineSpec, ForwardService, PoolSpec};
 pub use source_store::{CatalogStore, Offered, TargetChange, TargetStore};
 pub use stage_pace::StagePace;
 pub use stage_run::{ReadyStage, StageRun};
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -15,10 +15,6 @@
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-/// A call is overdue after this many times its expected time.
-const PATIENCE: f64 = 2.0;
-/// And never before this much beyond it.
-const PATIENCE_LEAST: Span = Span::from_millis(60);
 /// A piece that failed this often is given up.
 const MOST_TRIES: u8 = 4;
 
@@ -42,12 +38,12 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Call {
-    target: String,
-    items: Vec<PieceItem>,
+    pub(super) target: String,
+    pub(super) items: Vec<PieceItem>,
     pub(super) started: Time,
     pub(super) expected: Span,
     reserved: u64,
-    overdue: bool,
+    pub(super) overdue: bool,
 }
 
 /// The pieces that wait for one pool, and the calls at its targets.
@@ -254,7 +250,7 @@
         }
     }
 
-    fn on_target(&mut self, id: &str, change: impl FnOnce(&mut PoolTarget)) {
+    pub(super) fn on_target(&mut self, id: &str, change: impl FnOnce(&mut PoolTarget)) {
         if let Some(target) = self.targets.get_mut(id) {
             change(target);
         }
@@ -338,7 +334,7 @@
         true
     }
 
-    fn end_order(&mut self, key: OrderKey, end: OrderEnd) {
+    pub(super) fn end_order(&mut self, key: OrderKey, end: OrderEnd) {
         if self.orders.contains_key(key) {
             self.withdraw(key);
             self.ended.push((key, end));
@@ -355,7 +351,7 @@
         }
     }
 
-    fn requeue_item(&mut self, item: &PieceItem, tried: bool) {
+    pub(super) fn requeue_item(&mut self, item: &PieceItem, tried: bool) {
         let Some(order) = self.orders.get_mut(item.order) else {
             return;
         };
@@ -371,70 +367,8 @@
         }
     }
 
-    // ------------------------------------------------------------------------
-    // Time
-
-    /// Puts back the pieces of calls that take far too long, and gives their places at the targets to others: the
-    /// answer may be lost. Late results still count.
-    pub fn tick(&mut self, now: Time) {
-        let overdue: Vec<CallKey> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| !call.overdue && now >= overdue_at(call))
-            .map(|(key, _)| key)
-            .collect();
-        for key in overdue {
-            let Some(call) = self.calls.get_mut(key) else {
-                continue;
-            };
-            let copy = call.clone();
-            call.overdue = true;
-            self.on_target(&copy.target, |target| target.overdue(now));
-            for item in &copy.items {
-                self.requeue_item(item, true);
-            }
-        }
-    }
-
-    /// When [`PieceQueue::tick`] or [`PieceQueue::next_calls`] has something to do, if nothing happens before.
-    pub fn next_wake(&self, now: Time) -> Option<Time> {
-        let overdue = self
-            .calls
-            .values()
-            .filter(|call| !call.overdue)
-            .map(overdue_at)
-            .min();
-        let waits = self.waiting() > 0;
-        let back = self
-            .targets
-            .values()
-            .filter(|target| waits && target.out_until > now)
-            .map(|target| target.out_until)
-            .min();
-        let look = waits.then(|| now + Span::from_millis(100));
-        [overdue, back, look].into_iter().flatten().min()
-    }
-
-    fn drop_late(&mut self, now: Time) {
-        let least = self.call_time(1);
-        let late: Vec<OrderKey> = self
-            .orders
-            .iter()
-            .filter(|(_, order)| order.waiting > 0 && now + least > order.order.deadline)
-            .map(|(key, _)| key)
-            .collect();
-        for key in late {
-            let come_back = self.expected_wait(now, 1);
-            self.end_order(key, OrderEnd::TooLate(come_back));
-        }
-    }
-
     /// Orders that have ended since the last time.
     pub fn take_ended(&mut self) -> Vec<(OrderKey, OrderEnd)> {
         std::mem::take(&mut self.ended)
     }
 }
-
-fn overdue_at(call: &Call) -> Time {
-    call.started + call.expected.scale(PATIENCE).max(call.expected + PATIENCE_LEAST)
-}
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/piece_time.rs
@@ -0,0 +1,71 @@
+//! What time does to orders and calls: calls become overdue, orders too late.
+
+use super::piece_queue::Call;
+use super::{CallKey, OrderEnd, OrderKey, PieceQueue};
+use crate::{Span, Time};
+
+/// A call is overdue after this many times its expected time.
+const PATIENCE: f64 = 2.0;
+/// And never before this much beyond it.
+const PATIENCE_LEAST: Span = Span::from_millis(60);
+
+impl PieceQueue {
+    /// Puts back the pieces of calls that take far too long, and gives their places at the targets to others: the
+    /// answer may be lost. Late results still count.
+    pub fn tick(&mut self, now: Time) {
+        let overdue: Vec<CallKey> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| !call.overdue && now >= overdue_at(call))
+            .map(|(key, _)| key)
+            .collect();
+        for key in overdue {
+            let Some(call) = self.calls.get_mut(key) else {
+                continue;
+            };
+            let copy = call.clone();
+            call.overdue = true;
+            self.on_target(&copy.target, |target| target.overdue(now));
+            for item in &copy.items {
+                self.requeue_item(item, true);
+            }
+        }
+    }
+
+    /// When [`PieceQueue::tick`] or [`PieceQueue::next_calls`] has something to do, if nothing happens before.
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let overdue = self
+            .calls
+            .values()
+            .filter(|call| !call.overdue)
+            .map(overdue_at)
+            .min();
+        let waits = self.waiting() > 0;
+        let back = self
+            .targets
+            .values()
+            .filter(|target| waits && target.out_until > now)
+            .map(|target| target.out_until)
+            .min();
+        let look = waits.then(|| now + Span::from_millis(100));
+        [overdue, back, look].into_iter().flatten().min()
+    }
+
+    pub(super) fn drop_late(&mut self, now: Time) {
+        let least = self.call_time(1);
+        let late: Vec<OrderKey> = self
+            .orders
+            .iter()
+            .filter(|(_, order)| order.waiting > 0 && now + least > order.order.deadline)
+            .map(|(key, _)| key)
+            .collect();
+        for key in late {
+            let come_back = self.expected_wait(now, 1);
+            self.end_order(key, OrderEnd::TooLate(come_back));
+        }
+    }
+}
+
+fn overdue_at(call: &Call) -> Time {
+    call.started + call.expected.scale(PATIENCE).max(call.expected + PATIENCE_LEAST)
+}
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -156,7 +156,7 @@
 }
 
 // ----------------------------------------------------------------------------
-// What is still to come
+// Work that calls already taken will bring
 
 /// The pieces that a call will still bring to pools. Dropping it takes them off.
 pub struct PlannedPieces {
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod pools;
 mod results;
+mod send_request;
 mod stages;
 mod stream_relay;
 
--- /dev/null
+++ b/crates/barleyspool_gateway/src/traffic/send_request.rs
@@ -0,0 +1,70 @@
+//! What goes to a target and back to the caller: headers that belong to one connection stay on it.
+
+use super::call::Call;
+use crate::edges::SendHead;
+use barleyspool_core::Chosen;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+
+/// The request to a target: the caller's own, with the headers of this system.
+pub fn request(
+    call: &Call,
+    chosen: &Chosen,
+    inputs: &[String],
+    resume_after: Option<u64>,
+) -> Option<Request<Full<Bytes>>> {
+    let uri = call.uri.path_and_query()?.as_str();
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(uri)
+        .body(Full::new(call.body.clone()))
+        .ok()?;
+    let mut headers = call.headers.clone();
+    drop_connection_headers(&mut headers, call.traffic.edges.target.of_caller);
+    let head = SendHead {
+        incarnation: chosen.id.clone(),
+        organisation: call.organisation.clone(),
+        left: call.deadline.since(call.traffic.now()),
+        rank: call.engine_memory.map(|_| call.rank),
+        inputs: inputs.to_vec(),
+        resume_after,
+        source: chosen.source.clone(),
+    };
+    (call.traffic.edges.target.prepare)(&mut headers, &head);
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// The head of a target's answer as it goes to the caller.
+pub fn answer_parts(mut parts: Parts) -> Parts {
+    drop_connection_headers(&mut parts.headers, &[]);
+    parts
+}
+
+/// Headers that say something of one connection only.
+const OF_ONE_CONNECTION: &[&str] = &["keep-alive", "proxy-connection", "te", "trailer", "upgrade"];
+
+/// Takes off what speaks of one connection: a few headers always, others when `Connection` names them, but for `kept`.
+fn drop_connection_headers(headers: &mut HeaderMap, kept: &[HeaderName]) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !kept.contains(name))
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in OF_ONE_CONNECTION {
+        headers.remove(*name);
+    }
+    headers.remove(CONNECTION);
+    headers.remove(TRANSFER_ENCODING);
+    // The library states the length of what it sends.
+    headers.remove(CONTENT_LENGTH);
+}
