--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -34,7 +34,7 @@
 pub use catalog::{
     CallerLimits, Catalog, CatalogDocument, CatalogFault, KeyHolder, Route, RouteKind, Share, StageSpec,
 };
-pub use feed_cursor::{FeedCursor, FeedStep, WATCH_MARGIN, is_scout, watch_time};
+pub use feed_cursor::{FeedCursor, FeedStep, WATCH_MARGIN, is_short_poller, poll_wait};
 pub use forwarder::{ForwardSettings, Forwarder, SendKey};
 pub use kept_results::handle_address;
 pub use need::{Choose, Chosen, Need, Shard};
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -2,7 +2,7 @@
 
 use super::state::ControlState;
 use crate::edges::{Feed, Source, SourceChange, SourceError};
-use barleyspool_core::{FeedCursor, FeedStep, Revision, Span, TargetTable, WATCH_MARGIN, watch_time};
+use barleyspool_core::{FeedCursor, FeedStep, Revision, Span, TargetTable, WATCH_MARGIN, poll_wait};
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
@@ -88,7 +88,7 @@
     feed: Feed,
     since: Revision,
 ) -> Result<Revision, SourceError> {
-    let wait = watch_time(state.is_scout());
+    let wait = poll_wait(state.is_short_poller());
     let limit = Duration::from_micros((wait + WATCH_MARGIN).0);
     let changes = timed(limit, source.watch(feed, since, wait)).await?;
     state.take_changes(feed, changes.at, changes.changes);
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -6,7 +6,7 @@
 use barleyspool_core::{
     CatalogDocument, CatalogStore, ForwardPlan, Incarnation, MemberAction, MemberEvent, MemberFacts,
     MemberHealth, MemberView, Membership, MembershipSettings, Offered, Revision, Span, TargetChange,
-    TargetStore, TargetTable, Time, is_scout, rendezvous,
+    TargetStore, TargetTable, Time, is_short_poller, rendezvous,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -45,7 +45,7 @@
     /// Whether a planned stop is under way.
     pub stopping: Cell<bool>,
     /// Whether this node watches the feeds for a short time only.
-    scout: Cell<bool>,
+    short_poll: Cell<bool>,
     /// Tells the reader of each feed that its watch may hear nothing any more.
     suspect: [Notify; 2],
 }
@@ -85,7 +85,7 @@
             failing: RefCell::default(),
             settled: Cell::new(false),
             stopping: Cell::new(false),
-            scout: Cell::new(true),
+            short_poll: Cell::new(true),
             suspect: [Notify::new(), Notify::new()],
         }
     }
@@ -253,18 +253,18 @@
     }
 
     /// Whether this node watches the feeds for a short time only.
-    pub fn is_scout(&self) -> bool {
-        self.scout.get()
+    pub fn is_short_poller(&self) -> bool {
+        self.short_poll.get()
     }
 
-    /// Takes over a scout's part from a node that has gone: the long watches of before end.
-    fn take_scout(&self, plan: &ForwardPlan) {
+    /// Begins to watch for a short time in the place of a node that has gone: the long watches of before end.
+    fn take_polling(&self, plan: &ForwardPlan) {
         let members = plan.members.iter().map(|member| member.key);
-        let scout = is_scout(members, plan.me);
-        if scout && !self.scout.replace(scout) {
+        let short = is_short_poller(members, plan.me);
+        if short && !self.short_poll.replace(short) {
             self.suspect.iter().for_each(Notify::notify_one);
         }
-        self.scout.set(scout);
+        self.short_poll.set(short);
     }
 
     /// Whether other nodes should be asked for what the source does not tell.
@@ -337,7 +337,7 @@
         );
         self.outbox_filled.notify_one();
         let plan = self.plan();
-        self.take_scout(&plan);
+        self.take_polling(&plan);
         self.shared.plan.store(Arc::new(plan));
         self.shared.plan_changed.send_modify(|count| *count += 1);
     }
