--- a/crates/barleyspool_core/src/forward/stage_pace.rs
+++ b/crates/barleyspool_core/src/forward/stage_pace.rs
@@ -1,6 +1,6 @@
 //! How much longer the stages of calls take than was forecast, by route.
 
-use crate::Span;
+use crate::{Span, Time};
 use std::collections::HashMap;
 
 /// How much a call moves the average of its route: a node sees a few calls of a route each second, and loads change
@@ -9,33 +9,57 @@
 /// The least and the most that one call may say; a call that a lost answer held up says nothing of the next one.
 const RANGE: (f64, f64) = (0.5, 4.0);
 
+/// How long a correction stands without a new measurement. A node of a large fleet sees a call of a route every second
+/// or two.
+const STANDS: Span = Span::from_secs(2);
+/// What is left of it after each second beyond that. Without this a node that refuses all calls of a route, because
+/// its last ones were slow, would never see another one (docs/incidents, 13).
+const FADE: f64 = 0.5;
+
+#[derive(Copy, Clone, Debug)]
+struct Pace {
+    relative: f64,
+    measured: Time,
+}
+
+impl Pace {
+    fn now(self, now: Time) -> f64 {
+        let idle = Span(now.since(self.measured).0.saturating_sub(STANDS.0));
+        1.0 + (self.relative - 1.0) * FADE.powf(idle.as_secs())
+    }
+}
+
 /// How much longer the stages of calls take than was forecast, by route. A forecast knows what waited a moment ago, at
 /// full calls; it does not know what more urgent orders come, what room is short, or that two nodes own a pool for a
 /// moment. All of these show in what the calls of the last seconds took (docs/DECISIONS.md).
 #[derive(Clone, Debug, Default)]
 pub struct StagePace {
-    by_route: HashMap<String, f64>,
+    by_route: HashMap<String, Pace>,
 }
 
 impl StagePace {
     /// The time that stages for which `forecast` was reckoned are expected to take. Calls that were faster than
     /// forecast are no reason to take more.
-    pub fn corrected(&self, route: &str, forecast: Span) -> Span {
-        let pace = self.by_route.get(route).copied().unwrap_or(1.0);
+    pub fn corrected(&self, now: Time, route: &str, forecast: Span) -> Span {
+        let pace = self.by_route.get(route).map_or(1.0, |pace| pace.now(now));
         forecast.scale(pace.max(1.0))
     }
 
     /// The stages of a call of that route are done.
-    pub fn done(&mut self, route: &str, forecast: Span, took: Span) {
+    pub fn done(&mut self, now: Time, route: &str, forecast: Span, took: Span) {
         if forecast == Span::ZERO {
             return;
         }
         let relative = (took.0 as f64 / forecast.0 as f64).clamp(RANGE.0, RANGE.1);
+        let before = self.by_route.get(route).map_or(1.0, |pace| pace.now(now));
+        let pace = Pace {
+            relative: before + GAIN * (relative - before),
+            measured: now,
+        };
         match self.by_route.get_mut(route) {
-            Some(pace) => *pace += GAIN * (relative - *pace),
+            Some(known) => *known = pace,
             None => {
-                self.by_route
-                    .insert(route.to_owned(), 1.0 + GAIN * (relative - 1.0));
+                self.by_route.insert(route.to_owned(), pace);
             }
         }
     }
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -109,7 +109,9 @@
     let mut whole = last.unwrap_or_default();
     let reckoned = whole.total();
     call.stage_forecast.set(reckoned);
-    let corrected = call.traffic.pace.borrow().corrected(&call.route.name, reckoned);
+    let now = call.traffic.now();
+    let pace = call.traffic.pace.borrow();
+    let corrected = pace.corrected(now, &call.route.name, reckoned);
     whole.wait += Span(corrected.0 - reckoned.0);
     whole.base += call.first_time();
     whole
@@ -117,9 +119,10 @@
 
 /// The stages of a call are done; what they took corrects the forecasts of the next calls.
 pub fn stages_done(call: &Call) {
-    let took = call.traffic.now().since(call.arrived);
+    let now = call.traffic.now();
+    let took = now.since(call.arrived);
     let mut pace = call.traffic.pace.borrow_mut();
-    pace.done(&call.route.name, call.stage_forecast.take(), took);
+    pace.done(now, &call.route.name, call.stage_forecast.take(), took);
 }
 
 /// When a stage is expected to be done that starts at `start`.
