--- a/crates/barleyspool_core/src/membership/member.rs
+++ b/crates/barleyspool_core/src/membership/member.rs
@@ -17,6 +17,17 @@
     Dead,
 }
 
+/// What a change of a node's health rests on.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// It said or answered so itself.
+    Answer,
+    /// It did not answer this node, or did not refute a suspicion in time.
+    Silence,
+    /// Another node told so.
+    News,
+}
+
 /// What a node says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberFacts {
--- a/crates/barleyspool_core/src/membership/probes.rs
+++ b/crates/barleyspool_core/src/membership/probes.rs
@@ -1,7 +1,7 @@
 //! Probing other nodes, suspecting those that do not answer, and looking for those that are gone.
 
 use super::table::{Membership, Probe};
-use super::{MemberHealth, MemberQuestion};
+use super::{Evidence, MemberHealth, MemberQuestion};
 use crate::{Span, Time};
 use rand::seq::{IteratorRandom, SliceRandom};
 
@@ -81,7 +81,7 @@
                 .get(&probe.target)
                 .is_some_and(|member| member.health == MemberHealth::Alive);
             if alive {
-                self.set_health(now, &probe.target, MemberHealth::Suspect);
+                self.set_health(now, &probe.target, MemberHealth::Suspect, Evidence::Silence);
             }
             return;
         }
@@ -112,7 +112,7 @@
             .map(|(address, _)| address.clone())
             .collect();
         for address in overdue {
-            self.set_health(now, &address, MemberHealth::Dead);
+            self.set_health(now, &address, MemberHealth::Dead, Evidence::Silence);
         }
         let forget = self.settings.forget;
         self.members.retain(|_, member| {
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -1,7 +1,7 @@
 //! The table of nodes, stepped with the time and what was heard.
 
 use super::catch_up::CatchUp;
-use super::{Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion};
+use super::{Evidence, Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion};
 use crate::{Incarnation, Revision, Span, Time, rendezvous};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
@@ -93,9 +93,20 @@
         address: String,
         /// How it is now.
         health: MemberHealth,
+        /// What that rests on.
+        evidence: Evidence,
     },
 }
 
+/// How well news travel, for operators.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberCounts {
+    /// Nodes of which there is news that is to be passed on.
+    pub waiting: usize,
+    /// Suspicions that were ignored because the teller knew older facts of the same run.
+    pub outdated: u64,
+}
+
 /// A question that has not been answered yet.
 #[derive(Clone, Debug)]
 pub(super) struct Probe {
@@ -122,6 +133,7 @@
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
     pub(super) to_tell: HashMap<String, u32>,
+    pub(super) outdated: u64,
     pub(super) next_number: u64,
     pub(super) next_round: Time,
     pub(super) next_join: Time,
@@ -149,6 +161,7 @@
             probes: HashMap::new(),
             turn: VecDeque::new(),
             to_tell: HashMap::new(),
+            outdated: 0,
             next_number: 1,
             next_round: Time(0),
             next_join: Time(0),
@@ -199,6 +212,14 @@
         &self.me
     }
 
+    /// How well news travel.
+    pub fn counts(&self) -> MemberCounts {
+        MemberCounts {
+            waiting: self.to_tell.len(),
+            outdated: self.outdated,
+        }
+    }
+
     /// The nodes that take calls now, by address, this one included when it does.
     ///
     /// A suspected node still counts: a suspicion is often wrong, and leaving it out would move work twice.
@@ -298,7 +319,7 @@
             member.heard = now;
             // It answered, so it is there, whatever others say; it refutes by itself when it hears of it.
             if member.health == MemberHealth::Suspect {
-                self.set_health(now, &probe.target, MemberHealth::Alive);
+                self.set_health(now, &probe.target, MemberHealth::Alive, Evidence::Answer);
             }
         }
         if let Some((asker, number)) = probe.asked_by {
@@ -312,10 +333,15 @@
             self.news_of_me(&news);
             return;
         }
+        let evidence = if first_hand {
+            Evidence::Answer
+        } else {
+            Evidence::News
+        };
         let Some(known) = self.members.get_mut(&address) else {
             // Old news of a node that was never known is of no use.
             if news.health != MemberHealth::Dead {
-                self.learn(now, address, &news);
+                self.learn(now, address, &news, evidence);
             }
             return;
         };
@@ -324,6 +350,9 @@
         let worse = same_run && news.change >= known.change && news.health > known.health;
         // A node that speaks for itself is alive, however it was thought of.
         let speaks = first_hand && same_run && news.change >= known.change && news.health != known.health;
+        if same_run && news.change < known.change && news.health > known.health {
+            self.outdated += 1;
+        }
         if !newer && !worse && !speaks {
             return;
         }
@@ -336,19 +365,20 @@
         }
         let revived = newer && (!same_run || first_hand);
         if news.health > known.health || revived || speaks {
-            self.set_health(now, &address, news.health);
+            self.set_health(now, &address, news.health, evidence);
         }
         if told_facts {
-            self.tell_change(&address);
+            self.tell_change(&address, evidence);
         }
         self.to_tell.insert(address, 0);
     }
 
-    fn tell_change(&mut self, address: &str) {
+    fn tell_change(&mut self, address: &str, evidence: Evidence) {
         if let Some(member) = self.members.get(address) {
             self.actions.push(MemberAction::Changed {
                 address: address.to_owned(),
                 health: member.health,
+                evidence,
             });
         }
     }
@@ -362,7 +392,7 @@
         }
     }
 
-    fn learn(&mut self, now: Time, address: String, news: &MemberNews) {
+    fn learn(&mut self, now: Time, address: String, news: &MemberNews, evidence: Evidence) {
         let member = Member {
             facts: news.facts.clone(),
             incarnation: news.incarnation,
@@ -379,10 +409,14 @@
         self.to_tell.insert(address.clone(), 0);
         let place = self.random.random_range(0..=self.turn.len());
         self.turn.insert(place, address.clone());
-        self.actions.push(MemberAction::Changed { address, health });
+        self.actions.push(MemberAction::Changed {
+            address,
+            health,
+            evidence,
+        });
     }
 
-    pub(super) fn set_health(&mut self, now: Time, address: &str, health: MemberHealth) {
+    pub(super) fn set_health(&mut self, now: Time, address: &str, health: MemberHealth, evidence: Evidence) {
         let Some(member) = self.members.get_mut(address) else {
             return;
         };
@@ -395,6 +429,7 @@
         self.actions.push(MemberAction::Changed {
             address: address.to_owned(),
             health,
+            evidence,
         });
     }
 
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -4,12 +4,13 @@
 use crate::event_log::{EventLog, Line};
 use crate::shared::Shared;
 use barleyspool_core::{
-    CatalogDocument, CatalogStore, ForwardPlan, Incarnation, MemberAction, MemberEvent, MemberFacts,
-    MemberHealth, MemberView, Membership, MembershipSettings, Offered, Revision, Span, TargetChange,
-    TargetStore, TargetTable, Time, is_short_poller, rendezvous,
+    CatalogDocument, CatalogStore, Evidence, ForwardPlan, Incarnation, MemberAction, MemberEvent,
+    MemberFacts, MemberHealth, MemberView, Membership, MembershipSettings, Offered, Revision, Span,
+    TargetChange, TargetStore, TargetTable, Time, is_short_poller, rendezvous,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -284,18 +285,24 @@
         let actions = self.membership.borrow_mut().step(now, event);
         let settled = self.membership.borrow().settled(now);
         let mut changed = self.settled.replace(settled) != settled;
+        self.count_news();
         if actions.is_empty() && !changed {
             return;
         }
         for action in actions {
             match action {
                 MemberAction::Send { .. } => self.outbox.borrow_mut().push(action),
-                MemberAction::Changed { address, health } => {
+                MemberAction::Changed {
+                    address,
+                    health,
+                    evidence,
+                } => {
                     changed = true;
                     let serving = self.membership.borrow().serving().len();
                     let line = Line::Member {
                         address: &address,
                         health: health_name(health),
+                        evidence: evidence_name(evidence),
                         serving,
                     };
                     self.log.write(now, &line);
@@ -308,6 +315,14 @@
         }
     }
 
+    fn count_news(&self) {
+        let counts = self.membership.borrow().counts();
+        self.shared.news_waiting.store(counts.waiting, Ordering::Relaxed);
+        self.shared
+            .news_outdated
+            .store(counts.outdated, Ordering::Relaxed);
+    }
+
     /// Makes a plan after members have changed, at most one every [`GATHER`]: when a fleet starts, hundreds of
     /// changes come within a second.
     pub async fn publish_members(&self) {
@@ -371,6 +386,14 @@
     }
 }
 
+fn evidence_name(evidence: Evidence) -> &'static str {
+    match evidence {
+        Evidence::Answer => "answer",
+        Evidence::Silence => "silence",
+        Evidence::News => "news",
+    }
+}
+
 fn health_name(health: MemberHealth) -> &'static str {
     match health {
         MemberHealth::Alive => "alive",
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -90,6 +90,8 @@
         address: &'a str,
         /// How it is now.
         health: &'a str,
+        /// What that rests on: its own word, its silence, or the word of another node.
+        evidence: &'a str,
         /// Nodes that take calls.
         serving: usize,
     },
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::thread::JoinHandle;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
@@ -70,6 +70,8 @@
             plan: ArcSwap::default(),
             plan_changed: watch::Sender::new(0),
             counters: ArcSwap::default(),
+            news_waiting: AtomicUsize::new(0),
+            news_outdated: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             closed: watch::Sender::new(false),
             listening: AtomicBool::new(false),
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -93,6 +93,16 @@
         .with_callback(move |observer| observer.observe(of.plan.load().members.len() as u64, &[]))
         .build();
     let of = Arc::clone(shared);
+    meter
+        .u64_observable_gauge("barleyspool_member_news_waiting")
+        .with_callback(move |observer| observer.observe(of.news_waiting.load(Ordering::Relaxed) as u64, &[]))
+        .build();
+    let of = Arc::clone(shared);
+    meter
+        .u64_observable_counter("barleyspool_member_news_outdated")
+        .with_callback(move |observer| observer.observe(of.news_outdated.load(Ordering::Relaxed), &[]))
+        .build();
+    let of = Arc::clone(shared);
     meter
         .u64_observable_gauge("barleyspool_targets_listed")
         .with_callback(move |observer| observer.observe(of.plan.load().targets.len() as u64, &[]))
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use arc_swap::ArcSwap;
 use barleyspool_core::{Counters, ForwardPlan};
 use barleyspool_wire::Clock;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use tokio::sync::watch;
 
 /// Shared by the threads of a gateway.
@@ -20,6 +20,10 @@
     pub plan_changed: watch::Sender<u64>,
     /// What the traffic thread last counted.
     pub counters: ArcSwap<Counters>,
+    /// Nodes of which there is news that waits to be passed on.
+    pub news_waiting: AtomicUsize,
+    /// Suspicions that were ignored because the teller knew older facts.
+    pub news_outdated: AtomicU64,
     /// Calls in flight.
     pub in_flight: AtomicUsize,
     /// Set when the planned stop takes no new connections any more.
