Each node tells only its own version of the configuration, as it does the revision of its list

Cause: the version was one of the facts that nodes pass on of each other, and each new one was told to 32 others at once. Ten versions a second made news of 85 nodes ten times a second, eight to a message; a death waited behind them. Ruled out: late suspicion (first one after 0.37 s), one node that missed the news (70 nodes by silence). Test of before, red without it: a_death_is_heard_by_all_while_configurations_change.

--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -121,7 +121,7 @@
                 to: to.to_owned(),
                 message: MemberMessage {
                     question: MemberQuestion::Share { members },
-                    list: self.list,
+                    source: self.source,
                     news,
                 },
             });
--- a/crates/barleyspool_core/src/membership/member.rs
+++ b/crates/barleyspool_core/src/membership/member.rs
@@ -41,8 +41,19 @@
     pub zone: String,
     /// Whether it takes calls.
     pub serving: bool,
+}
+
+/// How far a node has read the source.
+///
+/// Each node tells only its own, with every message. Passed on by others it would be news of all nodes with
+/// every configuration, and crowd out who died or leaves: at ten configurations a second the median node of 86 heard
+/// of a death after 13.7 s in place of 1.6 s.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SourceState {
     /// The version of its configuration.
     pub version: Revision,
+    /// The revision at which its list of targets last changed.
+    pub list: Revision,
 }
 
 /// One node as another knows it.
@@ -60,8 +71,8 @@
     pub key: u128,
     /// When its health last changed.
     pub since: Time,
-    /// The revision at which its list of targets stood when it last spoke.
-    pub list: Revision,
+    /// How far it had read the source when it last spoke.
+    pub source: SourceState,
     /// When something was last heard from itself.
     pub heard: Time,
 }
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -1,7 +1,7 @@
 //! What nodes say to each other about who is there.
 
-use super::{MemberFacts, MemberHealth};
-use crate::{Incarnation, Revision};
+use super::{MemberFacts, MemberHealth, SourceState};
+use crate::Incarnation;
 use serde::{Deserialize, Serialize};
 
 /// What one node knows of another, passed on.
@@ -56,9 +56,8 @@
 pub struct MemberMessage {
     /// What it wants.
     pub question: MemberQuestion,
-    /// The revision at which the sender's list of targets stands. Each node tells only its own, with every message:
-    /// passed on by others it would crowd out news of nodes.
-    pub list: Revision,
+    /// How far the sender has read the source.
+    pub source: SourceState,
     /// News, the sender's own first.
     pub news: Vec<MemberNews>,
 }
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -10,6 +10,6 @@
 mod probes;
 mod table;
 
-pub use member::{Evidence, Member, MemberFacts, MemberHealth};
+pub use member::{Evidence, Member, MemberFacts, MemberHealth, SourceState};
 pub use message::{MemberMessage, MemberNews, MemberQuestion};
 pub use table::{MemberAction, MemberCounts, MemberEvent, Membership, MembershipSettings};
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -1,8 +1,10 @@
 //! The table of nodes, stepped with the time and what was heard.
 
 use super::catch_up::CatchUp;
-use super::{Evidence, Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion};
-use crate::{Incarnation, Revision, Span, Time, rendezvous};
+use super::{
+    Evidence, Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion, SourceState,
+};
+use crate::{Incarnation, Span, Time, rendezvous};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -62,15 +64,10 @@
     },
     /// Time has passed.
     Tick,
-    /// What this node says of itself has changed.
-    Facts {
-        /// Whether it takes calls.
-        serving: bool,
-        /// The version of its configuration.
-        version: Revision,
-    },
-    /// The list of targets stands at another revision.
-    List(Revision),
+    /// Whether this node takes calls now.
+    Serving(bool),
+    /// How far this node has read the source.
+    Source(SourceState),
     /// A planned stop begins.
     Leave,
     /// New seeds are in the settings.
@@ -128,7 +125,7 @@
     pub(super) settings: MembershipSettings,
     pub(super) members: BTreeMap<String, Member>,
     pub(super) me: MemberNews,
-    pub(super) list: Revision,
+    pub(super) source: SourceState,
     pub(super) catch_up: CatchUp,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
@@ -155,7 +152,7 @@
         Self {
             random: SmallRng::seed_from_u64(settings.seed),
             me,
-            list: Revision(0),
+            source: SourceState::default(),
             catch_up: CatchUp::default(),
             members: BTreeMap::new(),
             probes: HashMap::new(),
@@ -178,8 +175,8 @@
         match event {
             MemberEvent::Message { from, message } => self.message(now, &from, message),
             MemberEvent::Tick => {}
-            MemberEvent::Facts { serving, version } => self.facts(serving, version),
-            MemberEvent::List(revision) => self.list = revision,
+            MemberEvent::Serving(serving) => self.serves(serving),
+            MemberEvent::Source(source) => self.source = source,
             MemberEvent::Leave => self.leave(),
             MemberEvent::Seeds(seeds) => self.settings.seeds = seeds,
         }
@@ -238,12 +235,11 @@
     // ------------------------------------------------------------------------
     // This node
 
-    fn facts(&mut self, serving: bool, version: Revision) {
-        if self.me.facts.serving == serving && self.me.facts.version == version {
+    fn serves(&mut self, serving: bool) {
+        if self.me.facts.serving == serving {
             return;
         }
         self.me.facts.serving = serving;
-        self.me.facts.version = version;
         self.me.change += 1;
         self.tell_some();
     }
@@ -264,7 +260,7 @@
                 to: address,
                 message: MemberMessage {
                     question: MemberQuestion::News,
-                    list: self.list,
+                    source: self.source,
                     news: vec![self.me.clone()],
                 },
             });
@@ -294,7 +290,7 @@
         }
         if let Some(member) = self.members.get_mut(from) {
             member.heard = now;
-            member.list = message.list;
+            member.source = message.source;
         }
         match message.question {
             MemberQuestion::Probe { number } => {
@@ -398,7 +394,7 @@
             incarnation: news.incarnation,
             change: news.change,
             health: news.health,
-            list: Revision(0),
+            source: SourceState::default(),
             key: rendezvous::text_key(&news.facts.address),
             since: now,
             heard: now,
@@ -456,7 +452,7 @@
             to,
             message: MemberMessage {
                 question,
-                list: self.list,
+                source: self.source,
                 news,
             },
         });
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -3,7 +3,7 @@
 mod net;
 mod news;
 
-use barleyspool_core::{MemberEvent, MemberHealth, Revision, Span};
+use barleyspool_core::{MemberEvent, MemberHealth, Span};
 use net::Net;
 use std::collections::BTreeSet;
 
@@ -228,21 +228,13 @@
 #[test]
 fn that_a_node_serves_now_is_told_to_the_shells_of_all_others_soon() {
     let mut net = nine(0.0, 4);
-    let not_yet = MemberEvent::Facts {
-        serving: false,
-        version: Revision(1),
-    };
-    net.step("n7", not_yet);
+    net.step("n7", MemberEvent::Serving(false));
     net.run(Span::from_secs(3));
     for name in NAMES {
         assert_eq!(net.seen(name).len(), 8, "{name}");
     }
     net.changes.clear();
-    let serves = MemberEvent::Facts {
-        serving: true,
-        version: Revision(2),
-    };
-    net.step("n7", serves);
+    net.step("n7", MemberEvent::Serving(true));
     net.run(Span::from_millis(400));
     for name in NAMES {
         assert!(net.seen(name).contains("n7"), "{name}");
--- a/crates/barleyspool_core/tests/membership/net.rs
+++ b/crates/barleyspool_core/tests/membership/net.rs
@@ -2,7 +2,7 @@
 
 use barleyspool_core::{
     Incarnation, MemberAction, MemberEvent, MemberFacts, MemberHealth, MemberMessage, Membership,
-    MembershipSettings, Revision, Span, Time,
+    MembershipSettings, Span, Time,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -55,11 +55,7 @@
             seed: self.random.random(),
             ..MembershipSettings::default()
         });
-        let serving = MemberEvent::Facts {
-            serving: true,
-            version: Revision(1),
-        };
-        let actions = node.step(self.now, serving);
+        let actions = node.step(self.now, MemberEvent::Serving(true));
         self.nodes.insert(name.to_owned(), node);
         self.send(name, actions);
     }
--- a/crates/barleyspool_core/tests/membership/news.rs
+++ b/crates/barleyspool_core/tests/membership/news.rs
@@ -9,7 +9,7 @@
 //! once, and is lost on whoever can't take it then.
 
 use crate::net::Net;
-use barleyspool_core::{MemberEvent, Revision, Span};
+use barleyspool_core::{MemberEvent, Revision, SourceState, Span};
 
 /// Nodes of the fleets here.
 const FLEET: usize = 86;
@@ -45,12 +45,12 @@
     let end = net.now + span;
     while net.now < end {
         *version += 1;
-        let facts = MemberEvent::Facts {
-            serving: true,
+        let source = SourceState {
             version: Revision(*version),
+            list: Revision(1),
         };
         for name in names() {
-            net.step(&name, facts.clone());
+            net.step(&name, MemberEvent::Source(source));
         }
         net.run(CHANGE_EVERY);
     }
@@ -83,8 +83,7 @@
         while net.now < end {
             serving = !serving;
             for name in &names()[..20] {
-                let version = Revision(1);
-                net.step(name, MemberEvent::Facts { serving, version });
+                net.step(name, MemberEvent::Serving(serving));
             }
             net.run(CHANGE_EVERY);
         }
@@ -101,11 +100,8 @@
 fn a_death_counts_also_for_those_who_know_newer_facts_of_the_dead_node() {
     for seed in 0..4 {
         let mut net = fleet(seed);
-        let last = MemberEvent::Facts {
-            serving: true,
-            version: Revision(2),
-        };
-        net.step("m85", last);
+        net.step("m85", MemberEvent::Serving(false));
+        net.step("m85", MemberEvent::Serving(true));
         net.nodes.remove("m85");
         net.run(HEARD);
         let namers = namers(&net, "m85");
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -120,7 +120,7 @@
 /// The newest revision of the list of targets that another node told of.
 fn newest_list(state: &ControlState) -> Revision {
     let membership = state.membership.borrow();
-    let lists = membership.members().map(|member| member.list);
+    let lists = membership.members().map(|member| member.source.list);
     lists.max().unwrap_or_default()
 }
 
@@ -136,8 +136,8 @@
         .members()
         .filter(|member| matches!(member.health, MemberHealth::Alive | MemberHealth::Leaving))
         .filter(|member| {
-            let newer = member.facts.version > version || (behind && member.list > list);
-            newer || (lost && member.facts.version > Revision(0))
+            let newer = member.source.version > version || (behind && member.source.list > list);
+            newer || (lost && member.source.version > Revision(0))
         });
     let chosen = candidates.choose(&mut rand::rng())?;
     let address: SocketAddr = chosen.facts.address.parse().ok()?;
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -5,8 +5,8 @@
 use crate::shared::Shared;
 use barleyspool_core::{
     CatalogDocument, CatalogStore, Evidence, ForwardPlan, Incarnation, MemberAction, MemberEvent,
-    MemberFacts, MemberHealth, MemberView, Membership, MembershipSettings, Offered, Revision, Span,
-    TargetChange, TargetStore, TargetTable, Time, is_short_poller, rendezvous,
+    MemberFacts, MemberHealth, MemberView, Membership, MembershipSettings, Offered, Revision, SourceState,
+    Span, TargetChange, TargetStore, TargetTable, Time, is_short_poller, rendezvous,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -64,7 +64,6 @@
                 peers: settings.pieces.to_string(),
                 zone: settings.zone.clone(),
                 serving: false,
-                version: Revision(0),
             },
             incarnation: Incarnation(shared.clock.started().0),
             seeds: seeds
@@ -185,8 +184,15 @@
     }
 
     fn list_stands_at(&self) {
-        let at = self.targets.borrow().changed_at;
-        self.step_members(MemberEvent::List(at));
+        let source = self.source_state();
+        self.step_members(MemberEvent::Source(source));
+    }
+
+    fn source_state(&self) -> SourceState {
+        SourceState {
+            version: self.catalogs.borrow().version(),
+            list: self.targets.borrow().changed_at,
+        }
     }
 
     /// An item of the source cannot be read.
@@ -338,19 +344,8 @@
 
     /// Hands everything to the traffic thread.
     pub fn publish(&self) {
-        let version = self.catalogs.borrow().version();
-        let facts = MemberEvent::Facts {
-            serving: self.ready(),
-            version,
-        };
-        // Facts alone send nothing at once; they go out with the next probe.
-        let actions = self.membership.borrow_mut().step(self.now(), facts);
-        self.outbox.borrow_mut().extend(
-            actions
-                .into_iter()
-                .filter(|action| matches!(action, MemberAction::Send { .. })),
-        );
-        self.outbox_filled.notify_one();
+        self.step_members(MemberEvent::Source(self.source_state()));
+        self.step_members(MemberEvent::Serving(self.ready()));
         let plan = self.plan();
         self.take_polling(&plan);
         self.shared.plan.store(Arc::new(plan));
