News of how nodes are goes before news of their facts, each node in turn; a refutation is told at once

Cause: news went by how often it was told, then by address, and any change of a node set it back to untold. Nodes that change often went first for ever, those with high addresses last. Ruled out: one line of turns for all news (64 of 85 nodes still name a dead one after 3.5 s: a fleet that has just started passes on facts for half a minute). In virtual time, 86 nodes, 3.5 s after a death while 20 others change their facts: 56 nodes name it before, none after. A pause of 0.7 s is taken for a death for 10.05 node-seconds before, 2.9 after (without telling refutations at once: 11.9).

--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -7,6 +7,7 @@
 mod catch_up;
 mod member;
 mod message;
+mod news_queue;
 mod probes;
 mod table;
 
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -1,6 +1,7 @@
 //! The table of nodes, stepped with the time and what was heard.
 
 use super::catch_up::CatchUp;
+use super::news_queue::NewsQueue;
 use super::{
     Evidence, Member, MemberFacts, MemberHealth, MemberMessage, MemberNews, MemberQuestion, SourceState,
 };
@@ -129,7 +130,7 @@
     pub(super) catch_up: CatchUp,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
-    pub(super) to_tell: HashMap<String, u32>,
+    pub(super) to_tell: NewsQueue,
     pub(super) outdated: u64,
     pub(super) next_number: u64,
     pub(super) next_round: Time,
@@ -157,7 +158,7 @@
             members: BTreeMap::new(),
             probes: HashMap::new(),
             turn: VecDeque::new(),
-            to_tell: HashMap::new(),
+            to_tell: NewsQueue::default(),
             outdated: 0,
             next_number: 1,
             next_round: Time(0),
@@ -366,7 +367,12 @@
         if told_facts {
             self.tell_change(&address, evidence);
         }
-        self.to_tell.insert(address, 0);
+        if newer && same_run {
+            self.to_tell.add_facts(&address);
+        } else if newer {
+            // It refutes a suspicion, or has started again: as urgent as a suspicion itself.
+            self.to_tell.add_health(&address);
+        }
     }
 
     fn tell_change(&mut self, address: &str, evidence: Evidence) {
@@ -385,6 +391,9 @@
         let later = news.incarnation > self.me.incarnation;
         if (ill && news.incarnation >= self.me.incarnation) || later {
             self.me.incarnation = Incarnation(news.incarnation.0 + 1);
+            // The time to refute runs at all who heard of the suspicion. With probes alone to carry the refutation, a pause
+            // of 0.7 s was taken for a death for 10 node-seconds in a fleet of 86, told at once for 2.9.
+            self.tell_some();
         }
     }
 
@@ -402,7 +411,7 @@
         let health = member.health;
         self.note_learnt();
         self.members.insert(address.clone(), member);
-        self.to_tell.insert(address.clone(), 0);
+        self.to_tell.add_facts(&address);
         let place = self.random.random_range(0..=self.turn.len());
         self.turn.insert(place, address.clone());
         self.actions.push(MemberAction::Changed {
@@ -421,7 +430,7 @@
         }
         member.health = health;
         member.since = now;
-        self.to_tell.insert(address.to_owned(), 0);
+        self.to_tell.add_health(address);
         self.actions.push(MemberAction::Changed {
             address: address.to_owned(),
             health,
@@ -458,27 +467,11 @@
         });
     }
 
-    /// The news that were passed on least often; each only so often.
     fn news_to_tell(&mut self) -> Vec<MemberNews> {
         let often = (SPREAD * ((self.members.len() + 2) as f64).log2()).ceil() as u32;
-        let mut waiting: Vec<(u32, String)> = self
-            .to_tell
-            .iter()
-            .map(|(address, told)| (*told, address.clone()))
-            .collect();
-        waiting.sort();
-        let mut news = Vec::new();
-        for (told, address) in waiting.into_iter().take(self.settings.most_news) {
-            if let Some(member) = self.members.get(&address) {
-                news.push(news_of(member));
-            }
-            if told + 1 >= often {
-                self.to_tell.remove(&address);
-            } else {
-                self.to_tell.insert(address, told + 1);
-            }
-        }
-        news
+        let next = self.to_tell.take(self.settings.most_news, often);
+        let known = next.iter().filter_map(|address| self.members.get(address));
+        known.map(news_of).collect()
     }
 }
 
--- a/crates/barleyspool_core/tests/membership/news.rs
+++ b/crates/barleyspool_core/tests/membership/news.rs
@@ -127,3 +127,22 @@
         assert!(namers.is_empty(), "seed {seed}: still named by {namers:?}");
     }
 }
+
+/// A pause of 0.7 s is long enough to be suspected, and ends before the time to refute is over.
+#[test]
+fn a_node_that_paused_is_not_taken_for_dead_for_long() {
+    let plays = 8;
+    let mut node_ms = 0;
+    for seed in 0..plays {
+        let mut net = fleet(seed);
+        net.asleep.insert("m40".to_owned());
+        net.run(Span::from_millis(700));
+        net.asleep.clear();
+        for _ in 0..80 {
+            net.run(Span::from_millis(50));
+            node_ms += 50 * (FLEET - namers(&net, "m40").len());
+        }
+    }
+    let each = node_ms as f64 / 1000.0 / plays as f64;
+    assert!(each < 6.0, "{each} node-seconds in each play");
+}
