A dead node is remembered for ten minutes, longer than machines are usually suspended

Cause: after 30 s a death was forgotten, and a node that woke after 45 s taught the dead node to the others as alive. Ruled out: the node that slept names it only itself (m00, m02, m06, m18 of 20 named it). Test a_node_that_slept_long_revives_no_dead_one: red before, green after.

--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -26,7 +26,8 @@
     pub answer: Span,
     /// How long a suspected node may take to refute.
     pub refute: Span,
-    /// How long a dead node is remembered, so that old news does not revive it.
+    /// How long a dead node is remembered, so that old news of a node that slept or was cut off does not revive it.
+    /// Longer than machines are usually suspended; each dead node costs some 200 bytes.
     pub forget: Span,
     /// How many others are asked to probe.
     pub helpers: usize,
@@ -45,7 +46,7 @@
             round: Span::from_millis(250),
             answer: Span::from_millis(120),
             refute: Span::from_millis(1000),
-            forget: Span::from_secs(30),
+            forget: Span::from_secs(600),
             helpers: 2,
             most_news: 8,
             seed: 1,
--- a/crates/barleyspool_core/tests/membership/news.rs
+++ b/crates/barleyspool_core/tests/membership/news.rs
@@ -146,3 +146,27 @@
     let each = node_ms as f64 / 1000.0 / plays as f64;
     assert!(each < 6.0, "{each} node-seconds in each play");
 }
+
+/// The others have long forgotten the dead node when the one that slept wakes and still knows it as alive.
+#[test]
+fn a_node_that_slept_long_revives_no_dead_one() {
+    for seed in 0..8 {
+        let mut net = Net::new(0.01, seed);
+        for name in &names()[..20] {
+            net.start(name, 1, &["m00", "m05", "m10"]);
+        }
+        net.run(Span::from_secs(6));
+        net.asleep.insert("m07".to_owned());
+        net.nodes.remove("m19");
+        net.run(Span::from_secs(45));
+        net.asleep.clear();
+        // A node that starts now asks everybody, the one that slept too.
+        net.start("m20", 1, &["m00", "m05", "m10"]);
+        for _ in 0..40 {
+            net.run(Span::from_millis(100));
+            let mut namers = namers(&net, "m19");
+            namers.retain(|name| name != "m07");
+            assert!(namers.is_empty(), "seed {seed}: named again by {namers:?}");
+        }
+    }
+}
