--- /dev/null
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -0,0 +1,55 @@
+//! What a membership table is told, and what it wants done.
+
+use super::{Evidence, MemberHealth, MemberMessage, SourceState};
+
+/// Something that happened to the table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberEvent {
+    /// A message came.
+    Message {
+        /// From which address.
+        from: String,
+        /// The message.
+        message: MemberMessage,
+    },
+    /// Time has passed.
+    Tick,
+    /// Whether this node takes calls now.
+    Serving(bool),
+    /// How far this node has read the source.
+    Source(SourceState),
+    /// A planned stop begins.
+    Leave,
+    /// New seeds are in the settings.
+    Seeds(Vec<String>),
+}
+
+/// What the table wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberAction {
+    /// Send a datagram.
+    Send {
+        /// The address.
+        to: String,
+        /// The message.
+        message: MemberMessage,
+    },
+    /// Who is there, how they are, or whether they serve has changed.
+    Changed {
+        /// The node's address.
+        address: String,
+        /// How it is now.
+        health: MemberHealth,
+        /// What that rests on.
+        evidence: Evidence,
+    },
+}
+
+/// How well news travel, for operators.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberCounts {
+    /// Nodes of which there is news that is to be passed on.
+    pub waiting: usize,
+    /// Suspicions that were ignored because the teller knew older facts of the same run.
+    pub outdated: u64,
+}
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -5,12 +5,17 @@
 //! incarnation. News travels on the probes themselves, so the bytes per second do not grow with the fleet.
 
 mod catch_up;
+mod event;
+mod hearing;
 mod member;
 mod message;
 mod news_queue;
 mod probes;
+mod settings;
 mod table;
 
+pub use event::{MemberAction, MemberCounts, MemberEvent};
 pub use member::{Evidence, Member, MemberFacts, MemberHealth, SourceState};
 pub use message::{MemberMessage, MemberNews, MemberQuestion};
-pub use table::{MemberAction, MemberCounts, MemberEvent, Membership, MembershipSettings};
+pub use settings::MembershipSettings;
+pub use table::Membership;
--- /dev/null
+++ b/crates/barleyspool_core/src/membership/settings.rs
@@ -0,0 +1,47 @@
+//! What a membership table is set up with.
+
+use super::MemberFacts;
+use crate::{Incarnation, Span};
+
+/// What a membership table is set up with.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// What this node says of itself at its start.
+    pub facts: MemberFacts,
+    /// This run of the node.
+    pub incarnation: Incarnation,
+    /// Where to find others before any is known; some may be stale or dead.
+    pub seeds: Vec<String>,
+    /// The time between two probes.
+    pub round: Span,
+    /// How long an answer may take before others are asked to probe.
+    pub answer: Span,
+    /// How long a suspected node may take to refute.
+    pub refute: Span,
+    /// How long a dead node is remembered, so that old news of a node that slept or was cut off does not revive it.
+    /// Longer than machines are usually suspended; each dead node costs some 200 bytes.
+    pub forget: Span,
+    /// How many others are asked to probe.
+    pub helpers: usize,
+    /// The most news in one message besides the sender's own.
+    pub most_news: usize,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            facts: MemberFacts::default(),
+            incarnation: Incarnation(1),
+            seeds: Vec::new(),
+            round: Span::from_millis(250),
+            answer: Span::from_millis(120),
+            refute: Span::from_millis(1000),
+            forget: Span::from_secs(600),
+            helpers: 2,
+            most_news: 8,
+            seed: 1,
+        }
+    }
+}
--- a/crates/barleyspool_core/tests/membership/news.rs
+++ b/crates/barleyspool_core/tests/membership/news.rs
@@ -40,6 +40,15 @@
         .collect()
 }
 
+fn assert_nobody_names(net: &Net, dead: &str, seed: u64) {
+    let namers = namers(net, dead);
+    let count = namers.len();
+    assert!(
+        namers.is_empty(),
+        "seed {seed}: {count} still name it: {namers:?}"
+    );
+}
+
 /// Runs for `span` while the configuration changes again and again at all nodes.
 fn run_with_versions(net: &mut Net, version: &mut u64, span: Span) {
     let end = net.now + span;
@@ -64,12 +73,7 @@
         run_with_versions(&mut net, &mut version, Span::from_secs(2));
         net.nodes.remove("m85");
         run_with_versions(&mut net, &mut version, HEARD);
-        let namers = namers(&net, "m85");
-        assert!(
-            namers.is_empty(),
-            "seed {seed}: {} nodes still name it",
-            namers.len()
-        );
+        assert_nobody_names(&net, "m85", seed);
     }
 }
 
@@ -87,12 +91,7 @@
             }
             net.run(CHANGE_EVERY);
         }
-        let namers = namers(&net, "m85");
-        assert!(
-            namers.is_empty(),
-            "seed {seed}: {} nodes still name it",
-            namers.len()
-        );
+        assert_nobody_names(&net, "m85", seed);
     }
 }
 
@@ -104,12 +103,7 @@
         net.step("m85", MemberEvent::Serving(true));
         net.nodes.remove("m85");
         net.run(HEARD);
-        let namers = namers(&net, "m85");
-        assert!(
-            namers.is_empty(),
-            "seed {seed}: {} nodes still name it",
-            namers.len()
-        );
+        assert_nobody_names(&net, "m85", seed);
     }
 }
 
@@ -123,8 +117,7 @@
         net.run(Span::from_secs(15));
         net.asleep.clear();
         net.run(HEARD);
-        let namers = namers(&net, "m85");
-        assert!(namers.is_empty(), "seed {seed}: still named by {namers:?}");
+        assert_nobody_names(&net, "m85", seed);
     }
 }
 
--- a/crates/barleyspool_gateway/src/control/directory.rs
+++ b/crates/barleyspool_gateway/src/control/directory.rs
@@ -1,24 +1,17 @@
 //! Answering whether this node is ready, and which addresses to use.
 
+use super::http_port;
 use super::state::ControlState;
 use crate::edges::DirectoryEdge;
-use barleyspool_wire::net;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::seq::SliceRandom;
-use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
-/// How long a connection may rest.
-const IDLE: Duration = Duration::from_secs(15);
 /// The most addresses that one answer names.
 const MOST_ADDRESSES: usize = 16;
 /// A zone's own nodes are named alone when there are at least this many of them.
@@ -26,25 +19,7 @@
 
 /// Serves one of the two ports until the process ends.
 pub async fn serve(state: Rc<ControlState>, edge: Rc<DirectoryEdge>, listener: TcpListener) {
-    loop {
-        let Ok(stream) = net::accept(&listener).await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let (state, edge) = (Rc::clone(&state), Rc::clone(&edge));
-        spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = answer(&state, &edge, &request);
-                async { Ok::<_, Infallible>(response) }
-            });
-            // A caller that goes away in the middle is no matter of ours.
-            let _ = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    http_port::serve(listener, move |request| answer(&state, &edge, request)).await;
 }
 
 fn answer(state: &ControlState, edge: &DirectoryEdge, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod feed_reader;
+mod http_port;
 mod members;
 mod relay;
 mod state;
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -1,5 +1,6 @@
 //! Configuration and targets by way of other nodes, for those that the source does not answer; and metrics.
 
+use super::http_port;
 use super::state::ControlState;
 use crate::edges::Feed;
 use crate::metrics::Metrics;
@@ -8,12 +9,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,8 +25,6 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The largest answer, in bytes.
 const MOST_BYTES: usize = 16 << 20;
-/// How long a connection may rest.
-const IDLE: Duration = Duration::from_secs(15);
 /// Where metrics are read.
 const METRICS_PATH: &str = "/metrics";
 /// Where other nodes read what this one knows.
@@ -49,24 +46,7 @@
 
 /// Serves other nodes and readers of metrics until the process ends.
 pub async fn serve(state: Rc<ControlState>, listener: TcpListener, metrics: Rc<Metrics>) {
-    loop {
-        let Ok(stream) = net::accept(&listener).await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let (state, metrics) = (Rc::clone(&state), Rc::clone(&metrics));
-        spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = answer(&state, &metrics, &request);
-                async { Ok::<_, Infallible>(response) }
-            });
-            let _ = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    http_port::serve(listener, move |request| answer(&state, &metrics, request)).await;
 }
 
 fn answer(state: &ControlState, metrics: &Metrics, request: &Request<Incoming>) -> Response<Full<Bytes>> {
