Datagrams of other nodes that cannot be read are counted

They were dropped without a trace; nodes of program versions whose messages differ do not hear each other, and an operator could not see why.

--- a/crates/barleyspool_gateway/src/control/members.rs
+++ b/crates/barleyspool_gateway/src/control/members.rs
@@ -4,6 +4,7 @@
 use barleyspool_core::{MemberAction, MemberEvent, MemberMessage};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
@@ -19,9 +20,9 @@
         let wait = Duration::from_micros(wake.since(state.now()).0.max(1000));
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
+                // Whatever cannot be received is as good as a lost datagram; probes find out.
                 let Ok((length, from)) = received else { continue };
-                let Ok(message) = rmp_serde::from_slice::<MemberMessage>(&buffer[..length]) else { continue };
-                state.step_members(MemberEvent::Message { from: from.to_string(), message });
+                take(&state, &buffer[..length], from);
             }
             () = state.outbox_filled.notified() => {}
             () = tokio::time::sleep(wait) => state.step_members(MemberEvent::Tick),
@@ -29,6 +30,19 @@
     }
 }
 
+fn take(state: &ControlState, datagram: &[u8], from: SocketAddr) {
+    match rmp_serde::from_slice::<MemberMessage>(datagram) {
+        Ok(message) => {
+            let from = from.to_string();
+            state.step_members(MemberEvent::Message { from, message });
+        }
+        // Counted and not logged: a node of another version sends several a second.
+        Err(_) => {
+            state.shared.news_unreadable.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
 async fn send_all(state: &ControlState, socket: &UdpSocket) {
     let outbox = std::mem::take(&mut *state.outbox.borrow_mut());
     for action in outbox {
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -72,6 +72,7 @@
             counters: ArcSwap::default(),
             news_waiting: AtomicUsize::new(0),
             news_outdated: AtomicU64::new(0),
+            news_unreadable: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             closed: watch::Sender::new(false),
             listening: AtomicBool::new(false),
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -103,6 +103,11 @@
         .with_callback(move |observer| observer.observe(of.news_outdated.load(Ordering::Relaxed), &[]))
         .build();
     let of = Arc::clone(shared);
+    meter
+        .u64_observable_counter("barleyspool_member_news_unreadable")
+        .with_callback(move |observer| observer.observe(of.news_unreadable.load(Ordering::Relaxed), &[]))
+        .build();
+    let of = Arc::clone(shared);
     meter
         .u64_observable_gauge("barleyspool_targets_listed")
         .with_callback(move |observer| observer.observe(of.plan.load().targets.len() as u64, &[]))
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -24,6 +24,8 @@
     pub news_waiting: AtomicUsize,
     /// Suspicions that were ignored because the teller knew older facts.
     pub news_outdated: AtomicU64,
+    /// Datagrams of other nodes that could not be read.
+    pub news_unreadable: AtomicU64,
     /// Calls in flight.
     pub in_flight: AtomicUsize,
     /// Set when the planned stop takes no new connections any more.
