--- a/crates/barleyspool_core/src/membership/hearing.rs
+++ b/crates/barleyspool_core/src/membership/hearing.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 impl Membership {
+    /// Takes a message of the node at `from`, and answers it where it wants an answer.
     pub(super) fn message(&mut self, now: Time, from: &str, message: MemberMessage) {
         for (place, news) in message.news.into_iter().enumerate() {
             self.news(now, news, place == 0);
@@ -47,6 +48,7 @@
         }
     }
 
+    /// Takes news of one node, told by itself (`first_hand`) or by another.
     fn news(&mut self, now: Time, mut news: MemberNews, first_hand: bool) {
         let address = news.facts.address.clone();
         if address == self.me.facts.address {
@@ -77,33 +79,39 @@
         if !newer && !worse && !speaks {
             return;
         }
-        let mut told_facts = false;
-        if newer {
-            known.incarnation = news.incarnation;
-            known.change = news.change;
-            told_facts = known.facts.serving != news.facts.serving;
-            known.facts = news.facts;
-        }
         let revived = newer && (!same_run || first_hand);
-        if news.health > known.health || revived || speaks {
-            self.set_health(now, &address, news.health, evidence);
+        let health = news.health;
+        let changed = health > known.health || revived || speaks;
+        if newer {
+            self.newer_facts(news, evidence);
         }
-        if told_facts {
-            self.tell_change(&address, evidence);
+        if changed {
+            self.set_health(now, &address, health, evidence);
         }
-        if newer && same_run {
+    }
+
+    /// Takes what a known node newly says of itself.
+    fn newer_facts(&mut self, news: MemberNews, evidence: Evidence) {
+        let address = news.facts.address.clone();
+        let Some(known) = self.members.get_mut(&address) else {
+            return;
+        };
+        let same_run = news.incarnation == known.incarnation;
+        let serving_changed = known.facts.serving != news.facts.serving;
+        known.incarnation = news.incarnation;
+        known.change = news.change;
+        known.facts = news.facts;
+        let health = known.health;
+        if same_run {
             self.to_tell.add_facts(&address);
-        } else if newer {
+        } else {
             // It refutes a suspicion, or has started again: as urgent as a suspicion itself.
             self.to_tell.add_health(&address);
         }
-    }
-
-    fn tell_change(&mut self, address: &str, evidence: Evidence) {
-        if let Some(member) = self.members.get(address) {
+        if serving_changed {
             self.actions.push(MemberAction::Changed {
-                address: address.to_owned(),
-                health: member.health,
+                address,
+                health,
                 evidence,
             });
         }
