--- a/crates/barleyspool_core/tests/membership/news.rs
+++ b/crates/barleyspool_core/tests/membership/news.rs
@@ -55,6 +55,7 @@
     while net.now < end {
         *version += 1;
         let source = SourceState {
+            failing: false,
             version: Revision(*version),
             list: Revision(1),
         };
