A shard gets work by the number of its targets; a fleet that starts asks twice as often

Shards of 42 targets had 7, 16 and 18: the smallest had 1,170 pieces waiting, the others were idle for a quarter of the time. Now a call goes to a shard by weighted rendezvous hashing over its working targets, and targets are counted once a list, not several times a call. Nodes that are not settled ask every 50 ms in place of 100: the median knows all 0.6 s after the last is up, 252 before.

--- a/crates/barleyspool_core/src/forward/need.rs
+++ b/crates/barleyspool_core/src/forward/need.rs
@@ -40,10 +40,17 @@
 }
 
 impl Shard {
+    /// The only shard of a service that is not split.
+    pub const WHOLE: Self = Self { number: 0, of: 1 };
+
     /// Whether the target with that hash of its id belongs to it.
     pub fn holds(self, target: u128) -> bool {
-        let picked = rendezvous::pick(target, (0..self.of).map(u64::from));
-        picked == Some(u64::from(self.number))
+        Self::number_of(target, self.of) == self.number
+    }
+
+    /// To which of `of` shards the target with that hash of its id belongs.
+    pub fn number_of(target: u128, of: u32) -> u32 {
+        rendezvous::pick(target, (0..of).map(u64::from)).unwrap_or(0) as u32
     }
 }
 
--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -1,6 +1,6 @@
 //! What the control thread hands to the traffic thread for forwarded calls.
 
-use super::{Catalog, TargetTable, handle_address};
+use super::{Catalog, ServiceTargets, Shard, TargetTable, handle_address};
 use crate::Time;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -27,6 +27,8 @@
     pub targets: Arc<TargetTable>,
     /// The zone of each listed target, by its address; see [`ForwardPlan::zones_of`].
     pub zones: Arc<HashMap<String, String>>,
+    /// The targets of each service, by its name; see [`super::service_targets`].
+    pub services: Arc<HashMap<String, ServiceTargets>>,
     /// Nodes that serve, this one included, in the order of their keys.
     pub members: Arc<Vec<MemberView>>,
     /// This node's key.
@@ -46,6 +48,37 @@
         targets.values().map(zone).collect()
     }
 
+    /// How many targets of a service are not on their way out.
+    pub fn working(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, |targets| targets.working)
+    }
+
+    /// Into how many shards a pool is split.
+    pub fn pool_shards(&self, service: &str) -> u32 {
+        self.services
+            .get(service)
+            .map_or(1, |targets| targets.pool.count())
+    }
+
+    /// The shard of a pool that takes the work of `key`.
+    pub fn pool_shard(&self, service: &str, key: u128) -> Shard {
+        let targets = self.services.get(service);
+        targets.map_or(Shard::WHOLE, |targets| targets.pool.pick(key))
+    }
+
+    /// Into how many shards the engines of a service are split.
+    pub fn engine_shards(&self, service: &str) -> u32 {
+        self.services
+            .get(service)
+            .map_or(1, |targets| targets.engines.count())
+    }
+
+    /// The shard of engines that takes the work of `key`.
+    pub fn engine_shard(&self, service: &str, key: u128) -> Shard {
+        let targets = self.services.get(service);
+        targets.map_or(Shard::WHOLE, |targets| targets.engines.pick(key))
+    }
+
     /// The zone of the target that made a result.
     pub fn maker_zone(&self, handle: &str) -> Option<&str> {
         self.zones.get(handle_address(handle)).map(String::as_str)
--- a/crates/barleyspool_core/src/forward/source_store.rs
+++ b/crates/barleyspool_core/src/forward/source_store.rs
@@ -2,7 +2,10 @@
 
 use super::catalog_change::CatalogLog;
 use super::target_log::TargetLog;
-use super::{Catalog, CatalogChange, CatalogDocument, CatalogFault, ForwardPlan, TargetEntry, TargetTable};
+use super::{
+    Catalog, CatalogChange, CatalogDocument, CatalogFault, ForwardPlan, ServiceTargets, TargetEntry,
+    TargetTable, service_targets,
+};
 use crate::{Revision, Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -90,6 +93,8 @@
     pub table: Arc<TargetTable>,
     /// The zones of its targets, by address.
     pub zones: Arc<HashMap<String, String>>,
+    /// The targets of each service, by its name.
+    pub services: Arc<HashMap<String, ServiceTargets>>,
     /// The platform's revision that it stands at.
     pub at: Revision,
     /// The revision at which it last became another one. Others are told this one: what changes elsewhere on the
@@ -215,6 +220,7 @@
         if changed {
             self.changed_at = self.at;
             self.zones = Arc::new(ForwardPlan::zones_of(&self.table));
+            self.services = Arc::new(service_targets(&self.table));
         }
         changed
     }
--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -17,11 +17,17 @@
 
 /// How long after its start or a sleep a node asks.
 const YOUNG: Span = Span::from_secs(4);
-/// The time between two questions.
-const ASK_EVERY: Span = Span::from_millis(100);
+/// The time between two questions until a node is settled. After a start of all 295 nodes of a fleet the median one knew 252 of them
+/// 0.6 s after the last was up when this was 100 ms, and all of them with 50 ms.
+const ASK_EVERY: Span = Span::from_millis(50);
+/// The time between two questions of a node that is settled: what it missed by then is little, and each question names all
+/// that it knows.
+const ASK_SETTLED: Span = Span::from_millis(100);
+/// The time over which what is told is counted.
+const TELL_WINDOW: Span = Span::from_millis(100);
 /// Messages with which one question is answered at the most.
 const MOST_PARTS: usize = 8;
-/// Messages with which all questions of [`ASK_EVERY`] are answered in full; those over it get a few names only.
+/// Messages with which all questions of [`TELL_WINDOW`] are answered in full; those over it get a few names only.
 const PARTS_AT_ONCE: usize = 50;
 /// The names that a question over that is answered with.
 const FEW: usize = 3;
@@ -31,7 +37,9 @@
 const QUIET_ANSWERS: u32 = 2;
 /// But not before this time: all may have started at the same moment.
 const SETTLE_LEAST: Span = Span::from_millis(300);
-/// Nor later than after this one.
+/// Nor later than after this one. It is better to begin with a part of the fleet known than to wait: in a fleet of 295 whose
+/// pools waited for all to be known, half as many pieces were made in the first two seconds after a start of all, although without
+/// waiting 50 nodes own nine shards for half a second and nine calls of ten meet a full target, which costs 2 ms each.
 const SETTLE_MOST: Span = Span::from_millis(600);
 /// A node to which nobody answered by then is taken to be alone.
 const ALONE: Span = Span::from_millis(600);
@@ -80,7 +88,8 @@
         if !self.young(now) || now < self.catch_up.next {
             return;
         }
-        self.catch_up.next = now + ASK_EVERY;
+        let settled = self.settled(now);
+        self.catch_up.next = now + if settled { ASK_SETTLED } else { ASK_EVERY };
         let anybody: Vec<String> = self.reachable().collect();
         let partner = anybody.into_iter().choose(&mut self.random);
         self.catch_up.partner.clone_from(&partner);
@@ -139,7 +148,7 @@
     /// Messages with which questions were answered in this window.
     fn told_lately(&mut self, now: Time) -> usize {
         if now >= self.catch_up.window {
-            self.catch_up.window = now + ASK_EVERY;
+            self.catch_up.window = now + TELL_WINDOW;
             self.catch_up.parts = 0;
         }
         self.catch_up.parts
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -244,3 +244,24 @@
         );
     }
 }
+
+/// A fleet of 295 that lost power came back over half a second, its seeds among the last. Half a second after the seeds
+/// were up the median node knew 126 others, and 50 nodes owned the nine shards of the pools: 878 of 933 calls met a full target.
+#[test]
+fn a_large_fleet_whose_seeds_came_last_knows_itself_soon() {
+    for seed in 0..3 {
+        let names: Vec<String> = (0..295).map(|place| format!("m{place:03}")).collect();
+        let mut net = Net::new(0.02, seed);
+        let seeds = ["m294", "m290", "m285"];
+        for (place, name) in names.iter().enumerate() {
+            net.start(name, 1, &seeds);
+            if place % 6 == 0 {
+                net.run(Span::from_millis(10));
+            }
+        }
+        net.run(Span::from_millis(700));
+        let mut knows: Vec<usize> = names.iter().map(|name| net.seen(name).len()).collect();
+        knows.sort_unstable();
+        assert!(knows[15] >= 290, "seed {seed}: one in twenty knows {}", knows[15]);
+    }
+}
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -59,6 +59,7 @@
     let mut table = TargetTable::new();
     let mut first_at = None;
     loop {
+        state.shared.count_source_call();
         let page = timed(READ, source.read(feed, from)).await?;
         // Pages are no snapshot: what changes while they are read is told by the watch from the first one on.
         let at = *first_at.get_or_insert(page.at);
@@ -94,6 +95,7 @@
 ) -> Result<Revision, SourceError> {
     let wait = poll_wait(state.reading.is_short_poller());
     let limit = Duration::from_micros((wait + WATCH_MARGIN).0);
+    state.shared.count_source_call();
     let changes = timed(limit, source.watch(feed, since, wait)).await?;
     state.take_changes(feed, changes.at, changes.changes);
     Ok(changes.at.max(since))
--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -151,7 +151,6 @@
     pub fn feed_result(&self, feed: Feed, cause: Option<&str>) {
         let now = self.now();
         let place = feed as usize;
-        self.shared.source_calls.fetch_add(1, Ordering::Relaxed);
         if cause.is_none() {
             self.heard_reader(now);
         }
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -328,6 +328,7 @@
             made: self.now(),
             catalog: self.catalogs.borrow().catalog.clone(),
             zones: Arc::clone(&self.targets.borrow().zones),
+            services: Arc::clone(&self.targets.borrow().services),
             targets: Arc::clone(&self.targets.borrow().table),
             members: Arc::new(members),
             me: self.key(),
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -1,13 +1,13 @@
 //! Counters and gauges as `opentelemetry` metrics, readable as text.
 
 use crate::shared::Shared;
-use barleyspool_core::{Counter, Reason, RetryReason};
+use barleyspool_core::{Counter, Reason, RetryReason, Time};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// One example of each counter, for its name.
 const KINDS: &[Counter] = &[
@@ -76,46 +76,55 @@
 }
 
 fn register_gauges(meter: &Meter, shared: &Arc<Shared>) {
-    let of = Arc::clone(shared);
-    meter
-        .u64_observable_gauge("barleyspool_configuration_version")
-        .with_callback(move |observer| {
-            let plan = of.plan.load();
-            observer.observe(
-                plan.catalog.as_ref().map_or(0, |catalog| catalog.version().0),
-                &[],
-            );
-        })
-        .build();
-    let of = Arc::clone(shared);
-    meter
-        .u64_observable_gauge("barleyspool_members_serving")
-        .with_callback(move |observer| observer.observe(of.plan.load().members.len() as u64, &[]))
-        .build();
-    let of = Arc::clone(shared);
-    meter
-        .u64_observable_gauge("barleyspool_member_news_waiting")
-        .with_callback(move |observer| observer.observe(of.news_waiting.load(Ordering::Relaxed) as u64, &[]))
-        .build();
-    let of = Arc::clone(shared);
-    meter
-        .u64_observable_counter("barleyspool_member_news_outdated")
-        .with_callback(move |observer| observer.observe(of.news_outdated.load(Ordering::Relaxed), &[]))
-        .build();
-    let of = Arc::clone(shared);
-    meter
-        .u64_observable_counter("barleyspool_member_news_unreadable")
-        .with_callback(move |observer| observer.observe(of.news_unreadable.load(Ordering::Relaxed), &[]))
-        .build();
-    let of = Arc::clone(shared);
+    gauge(meter, shared, "configuration_version", |shared| {
+        let plan = shared.plan.load();
+        plan.catalog.as_ref().map_or(0, |catalog| catalog.version().0)
+    });
+    gauge(meter, shared, "members_serving", |shared| {
+        shared.plan.load().members.len() as u64
+    });
+    gauge(meter, shared, "member_news_waiting", |shared| {
+        shared.news_waiting.load(Ordering::Relaxed) as u64
+    });
+    total(meter, shared, "member_news_outdated", |shared| {
+        &shared.news_outdated
+    });
+    total(meter, shared, "member_news_unreadable", |shared| {
+        &shared.news_unreadable
+    });
+    gauge(meter, shared, "source_reader", |shared| {
+        u64::from(shared.source_reader.load(Ordering::Relaxed))
+    });
+    gauge(meter, shared, "source_silence_ms", |shared| {
+        let heard = Time(shared.source_heard.load(Ordering::Relaxed));
+        shared.clock.now().since(heard).as_millis()
+    });
+    total(meter, shared, "source_calls", |shared| &shared.source_calls);
+    total(meter, shared, "source_asked", |shared| &shared.asked);
+    total(meter, shared, "source_ask_failed", |shared| &shared.ask_failed);
+    gauge(meter, shared, "targets_listed", |shared| {
+        shared.plan.load().targets.len() as u64
+    });
+    gauge(meter, shared, "calls_in_flight", |shared| {
+        shared.in_flight.load(Ordering::Relaxed) as u64
+    });
+}
+
+/// A value that goes up and down, read when somebody looks.
+fn gauge(meter: &Meter, shared: &Arc<Shared>, name: &str, value: fn(&Shared) -> u64) {
+    let shared = Arc::clone(shared);
     meter
-        .u64_observable_gauge("barleyspool_targets_listed")
-        .with_callback(move |observer| observer.observe(of.plan.load().targets.len() as u64, &[]))
+        .u64_observable_gauge(format!("barleyspool_{name}"))
+        .with_callback(move |observer| observer.observe(value(&shared), &[]))
         .build();
-    let of = Arc::clone(shared);
+}
+
+/// A count that only rises, read when somebody looks.
+fn total(meter: &Meter, shared: &Arc<Shared>, name: &str, count: fn(&Shared) -> &AtomicU64) {
+    let shared = Arc::clone(shared);
     meter
-        .u64_observable_gauge("barleyspool_calls_in_flight")
-        .with_callback(move |observer| observer.observe(of.in_flight.load(Ordering::Relaxed) as u64, &[]))
+        .u64_observable_counter(format!("barleyspool_{name}"))
+        .with_callback(move |observer| observer.observe(count(&shared).load(Ordering::Relaxed), &[]))
         .build();
 }
 
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -45,6 +45,11 @@
 }
 
 impl Shared {
+    /// Counts a call to the source.
+    pub fn count_source_call(&self) {
+        self.source_calls.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Counts a question to another node for what is newer there.
     pub fn count_asked(&self, answered: bool) {
         self.asked.fetch_add(1, Ordering::Relaxed);
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -81,11 +81,7 @@
         .copied()
         .unwrap_or_default();
     let all = mine as f64 * plan.members.len().max(1) as f64;
-    let targets = plan
-        .targets
-        .values()
-        .filter(|entry| entry.service == service && !entry.leaving);
-    let places = targets.count().max(1) as f64 * f64::from(pool.slots.max(1));
+    let places = plan.working(service).max(1) as f64 * f64::from(pool.slots.max(1));
     let full_call = pool.call + Span(pool.item.0 * u64::from(pool.batch));
     full_call.scale(all / f64::from(pool.batch.max(1)) / places)
 }
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -15,8 +15,6 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// A service with more engines than this is split into shards.
-const SHARD_ENGINES: usize = 32;
 /// How long the owner may take to answer.
 const ANSWER: Duration = Duration::from_millis(60);
 /// A placement of which nothing was heard for this long is forgotten, in microseconds.
@@ -117,15 +115,11 @@
 
 /// The shard of its engines at which a call is placed: calls with the same shared prefix meet at one.
 pub fn shard(call: &Call, need: &Need) -> Shard {
-    let of = shards(&call.traffic, &need.service);
-    let spread = match need.prefix {
-        0 => rendezvous::text_key(&call.head.id) as u64,
-        prefix => prefix,
+    let key = match need.prefix {
+        0 => rendezvous::text_key(&call.head.id),
+        prefix => u128::from(prefix),
     };
-    Shard {
-        number: (spread % u64::from(of)) as u32,
-        of,
-    }
+    call.traffic.plan().engine_shard(&need.service, key)
 }
 
 fn request(call: &Call) -> Option<PlaceRequest> {
@@ -150,12 +144,6 @@
     })
 }
 
-fn shards(traffic: &Traffic, service: &str) -> u32 {
-    let plan = traffic.plan();
-    let engines = plan.targets.values().filter(|entry| entry.service == service);
-    engines.count().div_ceil(SHARD_ENGINES).max(1) as u32
-}
-
 // ----------------------------------------------------------------------------
 // As the owner
 
@@ -164,7 +152,7 @@
     let now = traffic.now();
     let shard = Shard {
         number: request.shard,
-        of: shards(traffic, &request.service),
+        of: traffic.plan().engine_shards(&request.service),
     };
     let mut forwarder = traffic.forwarder.borrow_mut();
     let avoid = request.avoid.iter().filter_map(|id| forwarder.key(id)).collect();
--- a/crates/barleyspool_gateway/src/traffic/pools.rs
+++ b/crates/barleyspool_gateway/src/traffic/pools.rs
@@ -2,15 +2,12 @@
 
 use super::Traffic;
 use super::pool::Pool;
-use barleyspool_core::{Catalog, ForwardPlan, TargetEntry, TargetTable, rendezvous};
+use barleyspool_core::{Catalog, ForwardPlan, Shard, TargetEntry, TargetTable, rendezvous};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// A pool with more targets than this is split into shards, each with an owner of its own.
-const SHARD_TARGETS: usize = 16;
-
 /// A pool's service and which shard of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PoolId {
@@ -90,18 +87,11 @@
         .as_ref()
         .and_then(|catalog| catalog.service(&id.service)?.pool.clone());
     let Some(spec) = spec else { return };
-    let shards = shards(plan, &id.service);
-    let mine = |entry: &TargetEntry| entry.service == id.service && shard_of(&entry.id, shards) == id.shard;
+    let shard = Shard {
+        number: id.shard,
+        of: plan.pool_shards(&id.service),
+    };
+    let holds = |entry: &TargetEntry| shard.holds(rendezvous::text_key(&entry.id));
+    let mine = |entry: &TargetEntry| entry.service == id.service && holds(entry);
     pool.queue.borrow_mut().take_plan(&spec, &plan.targets, mine);
 }
-
-/// Into how many shards a pool is split.
-pub fn shards(plan: &ForwardPlan, service: &str) -> u32 {
-    let targets = plan.targets.values().filter(|entry| entry.service == service);
-    (targets.count().div_ceil(SHARD_TARGETS)).max(1) as u32
-}
-
-fn shard_of(target: &str, shards: u32) -> u32 {
-    let places = (0..u64::from(shards)).collect::<Vec<_>>();
-    rendezvous::pick(rendezvous::text_key(target), places).unwrap_or(0) as u32
-}
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -2,7 +2,7 @@
 
 use super::call::Call;
 use super::peers::Owner;
-use super::pools::{self, PoolId};
+use super::pools::PoolId;
 use super::results::Results;
 use crate::event_log::Line;
 use crate::failure::CallFailure;
@@ -66,10 +66,10 @@
 /// The pool, or the shard of a large one, that makes a stage of a call.
 pub fn pool_id(call: &Call, stage: usize) -> PoolId {
     let service = &call.route.stages[stage].service;
-    let shards = pools::shards(&call.traffic.plan(), service);
+    let key = rendezvous::text_key(&call.head.id);
     PoolId {
         service: service.clone(),
-        shard: (rendezvous::text_key(&call.head.id) % u128::from(shards)) as u32,
+        shard: call.traffic.plan().pool_shard(service, key).number,
     }
 }
 
