Large pools are split by zone, and a request's stages stay in one

Shards were dealt out by hash, so one of three had some three targets of each of five zones, and pieces waited for a near one or went far. Now a pool of more than 16 targets is split by zone; a request begins in a zone as often as its first pool has targets there, and stays there as far as the zone's part of the next pool takes what comes from it; the rest goes to the others by weight. Also: an order at a shard that the plan does not know any more goes back to be placed anew, in place of waiting for targets that do not come.

--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod piece_queue;
 mod piece_time;
 mod plan;
+mod pool_shards;
 mod pool_target;
 mod pool_wait;
 mod prefix_memory;
@@ -49,6 +50,7 @@
 };
 pub use piece_queue::PieceQueue;
 pub use plan::{ForwardPlan, MemberView};
+pub use pool_shards::PoolShards;
 pub use pool_target::PoolTarget;
 pub use prefix_memory::PrefixMemory;
 pub use retry_window::RetryWindow;
--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -1,6 +1,6 @@
 //! What the control thread hands to the traffic thread for forwarded calls.
 
-use super::{Catalog, ServiceTargets, Shard, TargetTable, handle_address};
+use super::{Catalog, PoolShards, ServiceTargets, Shard, TargetTable, handle_address};
 use crate::Time;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -53,17 +53,16 @@
         self.services.get(service).map_or(0, |targets| targets.working)
     }
 
-    /// Into how many shards a pool is split.
-    pub fn pool_shards(&self, service: &str) -> u32 {
-        self.services
-            .get(service)
-            .map_or(1, |targets| targets.pool.count())
+    /// The shards of a pool; `None` when no target of it is listed.
+    pub fn pool_shards(&self, service: &str) -> Option<&PoolShards> {
+        self.services.get(service).map(|targets| &targets.pool)
     }
 
-    /// The shard of a pool that takes the work of `key`.
-    pub fn pool_shard(&self, service: &str, key: u128) -> Shard {
-        let targets = self.services.get(service);
-        targets.map_or(Shard::WHOLE, |targets| targets.pool.pick(key))
+    /// The part of the working targets of a service that lies in a zone.
+    pub fn zone_share(&self, service: &str, zone: &str) -> f64 {
+        self.services
+            .get(service)
+            .map_or(0.0, |targets| targets.zone_share(zone))
     }
 
     /// Into how many shards the engines of a service are split.
--- a/crates/barleyspool_core/src/forward/service_targets.rs
+++ b/crates/barleyspool_core/src/forward/service_targets.rs
@@ -1,12 +1,11 @@
 //! How many targets each service has, and how they are split over owners; made once for each list of targets, so that
 //! looking it up costs the same however many there are.
 
+use super::pool_shards::PoolShards;
 use super::{Shard, TargetTable};
 use crate::rendezvous;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
-/// A pool with more targets than this is split into shards, each with an owner of its own.
-const POOL_SHARD: usize = 16;
 /// A service with more engines than this is split into shards.
 const ENGINE_SHARD: usize = 32;
 
@@ -15,13 +14,23 @@
 pub struct ServiceTargets {
     /// Those that are not on their way out.
     pub working: usize,
+    /// Those by zone.
+    pub zones: BTreeMap<String, usize>,
     /// Its shards, when it is a pool.
-    pub pool: Shards,
+    pub pool: PoolShards,
     /// Its shards, when engines serve it.
     pub engines: Shards,
 }
 
-/// The shards of a service, by how many working targets each has.
+impl ServiceTargets {
+    /// The part of its working targets that lies in a zone.
+    pub fn zone_share(&self, zone: &str) -> f64 {
+        let of_zone = self.zones.get(zone).copied().unwrap_or_default();
+        of_zone as f64 / self.working.max(1) as f64
+    }
+}
+
+/// The shards of engines, by how many working ones each has.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shards {
     weights: Vec<u32>,
@@ -33,9 +42,7 @@
         self.weights.len().max(1) as u32
     }
 
-    /// The shard that takes the work of `key`: as much goes to each as it has targets. Targets are dealt out by hash, so shards
-    /// of 42 targets had 7, 16 and 18; with a third of the calls each, the smallest had 1,170 pieces waiting while the
-    /// others were idle for a quarter of the time.
+    /// The shard that takes the work of `key`: as much goes to each as it has engines.
     pub fn pick(&self, key: u128) -> Shard {
         let weights = self.weights.iter().enumerate();
         let weights = weights.map(|(number, weight)| (number as u64, f64::from(*weight)));
@@ -68,7 +75,8 @@
     let new = |(service, listed): (&str, usize)| {
         let targets = ServiceTargets {
             working: 0,
-            pool: Shards::new(listed, POOL_SHARD),
+            zones: BTreeMap::new(),
+            pool: PoolShards::new(table, service),
             engines: Shards::new(listed, ENGINE_SHARD),
         };
         (service.to_owned(), targets)
@@ -80,7 +88,7 @@
         };
         let hash = rendezvous::text_key(&entry.id);
         service.working += 1;
-        service.pool.add(hash);
+        *service.zones.entry(entry.zone.clone()).or_default() += 1;
         service.engines.add(hash);
     }
     services
--- a/crates/barleyspool_core/src/rendezvous.rs
+++ b/crates/barleyspool_core/src/rendezvous.rs
@@ -29,14 +29,15 @@
         .max_by_key(|&member| (weight(key, member), member))
 }
 
+/// A number between 0 and 1, neither of them, spread evenly over keys.
+pub fn even(key: u128, member: u64) -> f64 {
+    (weight(key, member) as f64 + 1.0) / (u64::MAX as f64 + 2.0)
+}
+
 /// Picks the member that wins `key`, each as often as its weight says; `None` when none has any. A change of one weight moves
 /// only keys from or to its member.
 pub fn pick_weighted(key: u128, members: impl IntoIterator<Item = (u64, f64)>) -> Option<u64> {
-    let score = |(member, share): (u64, f64)| {
-        // Spread evenly over the open interval from 0 to 1.
-        let even = (weight(key, member) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        (share / -even.ln(), member)
-    };
+    let score = |(member, share): (u64, f64)| (share / -even(key, member).ln(), member);
     let scored = members.into_iter().filter(|(_, share)| *share > 0.0).map(score);
     scored
         .max_by(|one, other| one.0.total_cmp(&other.0))
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -146,7 +146,7 @@
 /// How long a full call takes at the pool of a stage, by its owner's last word.
 fn told_wait(call: &Call, stage: usize) -> Span {
     let traffic = &call.traffic;
-    let id = stages::pool_id(call, stage);
+    let id = stages::likely_pool(call, stage);
     let told = match traffic.peers.owner(traffic, &id) {
         Owner::Me => traffic.pools.known(&id).map(|pool| pool.wait(traffic)),
         Owner::Other(_) => traffic.peers.wait(traffic.now(), &id),
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -11,7 +11,7 @@
 use super::stages;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time,
+    CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, rendezvous,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -19,7 +19,7 @@
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -67,6 +67,8 @@
     pub sending: Cell<bool>,
     /// Targets that failed it.
     pub avoid: RefCell<Vec<TargetKey>>,
+    /// The zone in which its stages begin; see [`Call::home_zone`].
+    pub home: OnceCell<String>,
     /// Where its inputs lie; empty before its stages are done.
     pub input_zone: RefCell<String>,
     /// The configuration.
@@ -199,6 +201,7 @@
         history: Cell::default(),
         sending: Cell::new(false),
         avoid: RefCell::default(),
+        home: OnceCell::new(),
         input_zone: RefCell::default(),
         catalog: taken.catalog,
         planned: RefCell::default(),
@@ -304,6 +307,21 @@
         likely.unwrap_or_else(|| self.traffic.shared.settings.zone.clone())
     }
 
+    /// The zone in which its stages begin, and in which they stay where that costs nothing: a zone of its first pool, as often
+    /// as there are targets.
+    pub fn home_zone(&self) -> String {
+        let home = || {
+            let plan = self.traffic.plan();
+            let first = self.route.stages.first();
+            let shards = first.and_then(|first| plan.pool_shards(&first.service));
+            let key = rendezvous::text_key(&self.head.id);
+            shards.map_or(String::new(), |shards| {
+                shards.zone(shards.pick(key, "", 0.0)).to_owned()
+            })
+        };
+        self.home.get_or_init(home).clone()
+    }
+
     /// The size of what the call itself reads of its stages, in bytes.
     pub fn input_bytes(&self) -> u64 {
         let stages = &self.route.stages;
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -90,9 +90,9 @@
         if let Some(catalog) = &plan.catalog {
             self.pace.borrow_mut().retain(|route| catalog.has_route(route));
         }
-        *self.plan.borrow_mut() = plan;
+        *self.plan.borrow_mut() = Arc::clone(&plan);
         for (id, pool) in self.pools.all() {
-            if self.peers.owner(self, &id) != Owner::Me {
+            if self.peers.owner(self, &id) != Owner::Me || !id.is_current(&plan) {
                 pool.hand_over();
             }
         }
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -310,12 +310,17 @@
     let mut order = order.order;
     order.deadline = now + Span(order.deadline.0);
     order.due = now + Span(order.due.0);
+    let ended = |end| RemoteEnd {
+        end,
+        wait: Span::ZERO,
+    };
+    if !id.is_current(&traffic.plan()) {
+        // The pool is split in another way by now; the other node will hear of it too.
+        let _ = reply.send(ended(OrderEnd::Moved));
+        return;
+    }
     let Some(pool) = traffic.pools.get(&traffic, &id) else {
-        let end = RemoteEnd {
-            end: OrderEnd::Failed,
-            wait: Span::ZERO,
-        };
-        let _ = reply.send(end);
+        let _ = reply.send(ended(OrderEnd::Failed));
         return;
     };
     let end = tokio::select! {
--- a/crates/barleyspool_gateway/src/traffic/pools.rs
+++ b/crates/barleyspool_gateway/src/traffic/pools.rs
@@ -2,7 +2,7 @@
 
 use super::Traffic;
 use super::pool::Pool;
-use barleyspool_core::{Catalog, ForwardPlan, Shard, TargetEntry, TargetTable, rendezvous};
+use barleyspool_core::{Catalog, ForwardPlan, TargetEntry, TargetTable, rendezvous};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -18,6 +18,12 @@
 }
 
 impl PoolId {
+    /// Whether the plan still splits the pool so.
+    pub fn is_current(&self, plan: &ForwardPlan) -> bool {
+        let shards = plan.pool_shards(&self.service);
+        shards.is_none_or(|shards| shards.has(self.shard))
+    }
+
     /// The key by which the owner is picked.
     pub fn owner_key(&self) -> u128 {
         rendezvous::text_key(&self.service) ^ u128::from(self.shard)
@@ -87,11 +93,8 @@
         .as_ref()
         .and_then(|catalog| catalog.service(&id.service)?.pool.clone());
     let Some(spec) = spec else { return };
-    let shard = Shard {
-        number: id.shard,
-        of: plan.pool_shards(&id.service),
-    };
-    let holds = |entry: &TargetEntry| shard.holds(rendezvous::text_key(&entry.id));
+    let shards = plan.pool_shards(&id.service);
+    let holds = |entry: &TargetEntry| shards.is_some_and(|shards| shards.shard_of(entry) == id.shard);
     let mine = |entry: &TargetEntry| entry.service == id.service && holds(entry);
     pool.queue.borrow_mut().take_plan(&spec, &plan.targets, mine);
 }
--- a/crates/barleyspool_gateway/src/traffic/stages.rs
+++ b/crates/barleyspool_gateway/src/traffic/stages.rs
@@ -63,26 +63,49 @@
     }
 }
 
-/// The pool, or the shard of a large one, that makes a stage of a call.
-pub fn pool_id(call: &Call, stage: usize) -> PoolId {
-    let service = &call.route.stages[stage].service;
+/// The pool, or the shard of a large one, that makes a stage of a call whose inputs lie in `zone`, or whose next step
+/// does; an empty one when neither matters.
+fn pool_id(call: &Call, stage: usize, zone: &str) -> PoolId {
+    let plan = call.traffic.plan();
+    let spec = &call.route.stages[stage];
     let key = rendezvous::text_key(&call.head.id);
+    let (near, before) = if zone.is_empty() {
+        (call.home_zone(), call.route.stages[0].service.as_str())
+    } else {
+        (zone.to_owned(), feeder(call, stage))
+    };
+    // Requests of all nodes come from a zone in proportion to the targets there that they were at before.
+    let come = plan.zone_share(before, &near);
+    let shards = plan.pool_shards(&spec.service);
     PoolId {
-        service: service.clone(),
-        shard: call.traffic.plan().pool_shard(service, key).number,
+        service: spec.service.clone(),
+        shard: shards.map_or(0, |shards| shards.pick(key, &near, come)),
     }
 }
 
+/// The service whose targets are spread over zones as the calls at a stage are: that of the stage before, or of the call itself.
+fn feeder(call: &Call, stage: usize) -> &str {
+    let stages = &call.route.stages;
+    let needs = &stages[stage].needs;
+    needs
+        .first()
+        .map_or(call.service.as_str(), |needed| &stages[*needed].service)
+}
+
+/// The pool of a stage of a call that has not begun, as far as can be said.
+pub fn likely_pool(call: &Call, stage: usize) -> PoolId {
+    pool_id(call, stage, &call.home_zone())
+}
+
 async fn make_stage(call: &Call, ready: ReadyStage, depth: usize) -> StageEnd {
     let traffic = &call.traffic;
     let service = &call.route.stages[ready.stage].service;
-    let pool = pool_id(call, ready.stage);
     let began = traffic.now();
     if let Some(planned) = &*call.planned.borrow() {
         planned.arrived(ready.stage);
     }
     let order = order(call, &ready, depth);
-    let (owner, end) = make_at_owner(call, &pool, &order).await;
+    let (pool, owner, end) = make_at_owner(call, &order).await;
     let now = traffic.now();
     let owner = match &owner {
         Owner::Me => "self",
@@ -111,36 +134,42 @@
 
 /// Lets the owner of the pool make an order. Owners that cannot be reached are replaced a few times; one that says
 /// that the pool has moved is asked who owns it for as long as the call has time.
-async fn make_at_owner(call: &Call, pool: &PoolId, order: &PieceOrder) -> (Owner, OrderEnd) {
+async fn make_at_owner(call: &Call, order: &PieceOrder) -> (PoolId, Owner, OrderEnd) {
     let traffic = &call.traffic;
-    let mut owner = traffic.peers.owner(traffic, pool);
+    // The pool may be split in another way when it is asked again.
+    let place = || {
+        let pool = pool_id(call, order.stage as usize, &order.zone);
+        let owner = traffic.peers.owner(traffic, &pool);
+        (pool, owner)
+    };
+    let (mut pool, mut owner) = place();
     let mut unreachable = 0;
     while unreachable < MOST_OWNERS {
         let made = match &owner {
-            Owner::Me => match traffic.pools.get(traffic, pool) {
+            Owner::Me => match traffic.pools.get(traffic, &pool) {
                 Some(local) => Some(local.make(traffic, order.clone()).await),
                 None => Some(OrderEnd::Failed),
             },
-            Owner::Other(address) => traffic.peers.make(traffic, address, pool, order).await,
+            Owner::Other(address) => traffic.peers.make(traffic, address, &pool, order).await,
         };
-        let before = owner.clone();
+        let before = (pool.clone(), owner.clone());
         match made {
             Some(OrderEnd::Moved) => {
-                owner = traffic.peers.owner(traffic, pool);
-                if owner == before {
+                (pool, owner) = place();
+                if (&pool, &owner) == (&before.0, &before.1) {
                     // This node will hear of the other owner too.
                     tokio::time::sleep(OWNER_WAIT).await;
-                    owner = traffic.peers.owner(traffic, pool);
+                    (pool, owner) = place();
                 }
             }
-            Some(end) => return (owner, end),
+            Some(end) => return (pool, owner, end),
             None => {
                 unreachable += 1;
-                owner = traffic.peers.owner(traffic, pool);
+                (pool, owner) = place();
             }
         }
     }
-    (owner, OrderEnd::Failed)
+    (pool, owner, OrderEnd::Failed)
 }
 
 fn order(call: &Call, ready: &ReadyStage, depth: usize) -> PieceOrder {
