--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -9,8 +9,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// The time between two announcements of a reader to which nothing is new. At 103 nodes in a zone some 70 bytes each are
-/// 12 KB a second, just below the 13 that a node may spend on control (docs/CAPACITY.md).
+/// The time between two announcements of a reader to which nothing is new. At 103 nodes in a zone some 70 bytes each, headers
+/// included, are 12 KB a second as reckoned, just below the 13 that a node may spend on control (docs/CAPACITY.md).
 pub const ANNOUNCE_EVERY: Span = Span::from_millis(600);
 /// A node that heard no reader for this long reads for itself: two announcements may be lost, and with
 /// [`SILENCE_SPREAD`] and the time to read it is below the three seconds within which a change has to be known everywhere.
@@ -146,9 +146,4 @@
         let watches = self.reads(now) && !failing;
         !watches || now.since(since) >= OWN_WATCH
     }
-
-    /// When a node that waits for its own watch asks another one after all; `None` when it waits for nothing.
-    pub fn ask_at(&self) -> Option<Time> {
-        self.ahead.map(|(since, _)| since + OWN_WATCH)
-    }
 }
--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -3,6 +3,7 @@
 use super::relay::{Known, Part, known_query};
 use super::state::{ControlState, Origin};
 use crate::edges::Feed;
+use crate::event_log::Line;
 use barleyspool_core::{Member, MemberHealth, Span, Time};
 use barleyspool_wire::net;
 use bytes::Bytes;
@@ -22,8 +23,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
 /// How long a node that did not answer is not asked again while another one can be.
 const DOWN_FOR: Span = Span::from_secs(2);
-/// The least time between two questions: configurations can come ten a second, and each question costs both sides some
-/// 0.2 ms of a core.
+/// The least time between two questions: configurations can come ten a second, and each question is a connection and a
+/// request to a node that many others ask too.
 const GATHER: Duration = Duration::from_millis(100);
 /// The largest answer, in bytes.
 const MOST_BYTES: usize = 16 << 20;
@@ -46,12 +47,17 @@
             continue;
         };
         match ask(&state, &peer).await {
-            Some(known) => {
+            Ok(known) => {
                 state.shared.count_asked(true);
                 take(&state, known, &peer);
             }
-            None => {
+            Err(failure) => {
                 state.shared.count_asked(false);
+                let line = Line::AskFailed {
+                    peer: &peer.to_string(),
+                    cause: &failure.to_string(),
+                };
+                state.log.write(state.now(), &line);
                 down.retain(|_, until| state.now() < *until);
                 down.insert(peer, state.now() + DOWN_FOR);
             }
@@ -92,11 +98,25 @@
         .any(|feed| state.reading.is_failing(*feed))
 }
 
-async fn ask(state: &ControlState, peer: &SocketAddr) -> Option<Known> {
+/// Why another node did not tell what it knows.
+#[derive(Debug, displaydoc::Display)]
+enum AskFailure {
+    /// no answer in time
+    Silent,
+    /// it cannot be reached: {0}
+    Unreachable(std::io::Error),
+    /// the connection failed: {0}
+    Broken(hyper::Error),
+    /// the question cannot be written: {0}
+    Question(hyper::http::Error),
+    /// the answer cannot be read: {0}
+    Unreadable(String),
+}
+
+async fn ask(state: &ControlState, peer: &SocketAddr) -> Result<Known, AskFailure> {
     let query = known_query(state.held(), wants_whole(state));
-    tokio::time::timeout(ASK_TIMEOUT, fetch(peer, &query))
-        .await
-        .ok()?
+    let answer = tokio::time::timeout(ASK_TIMEOUT, fetch(peer, &query)).await;
+    answer.unwrap_or(Err(AskFailure::Silent))
 }
 
 fn take(state: &ControlState, known: Known, peer: &SocketAddr) {
@@ -134,19 +154,21 @@
     }
 }
 
-async fn fetch(peer: &SocketAddr, path: &str) -> Option<Known> {
-    let stream = net::connect(&peer.to_string()).await.ok()?;
+async fn fetch(peer: &SocketAddr, path: &str) -> Result<Known, AskFailure> {
+    let stream = net::connect(&peer.to_string())
+        .await
+        .map_err(AskFailure::Unreachable)?;
     let io = TokioIo::new(stream);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
+        .await
+        .map_err(AskFailure::Broken)?;
     spawn_local(connection);
     let request = Request::get(path)
         .header("host", peer.to_string())
         .body(Empty::<Bytes>::new())
-        .ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let body = Limited::new(response.into_body(), MOST_BYTES)
-        .collect()
-        .await
-        .ok()?;
-    rmp_serde::from_slice(&body.to_bytes()).ok()
+        .map_err(AskFailure::Question)?;
+    let response = sender.send_request(request).await.map_err(AskFailure::Broken)?;
+    let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
+    let body = body.map_err(|error| AskFailure::Unreadable(error.to_string()))?;
+    rmp_serde::from_slice(&body.to_bytes()).map_err(|error| AskFailure::Unreadable(error.to_string()))
 }
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -93,6 +93,13 @@
         /// The nodes that answer, itself among them.
         members: usize,
     },
+    /// Another node was asked for what is newer there and did not tell.
+    AskFailed {
+        /// Its address.
+        peer: &'a str,
+        /// What went wrong.
+        cause: &'a str,
+    },
     /// What is thought of another node changed.
     Member {
         /// Its address.
