Nodes that are no readers try a source that does not answer ten times a second all together

Now the wait is the number of nodes over ten a second from the first failure on; readers tell them when the source answers again.

--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -20,9 +20,10 @@
 /// How long a node that watches the source waits for its own watch to tell what another has: an answer of a slow source
 /// takes some 250 ms.
 const OWN_WATCH: Span = Span::from_millis(400);
-/// Nodes for which the longest wait between tries at a source that does not answer is meant to hold. Beyond it nodes that
-/// are no readers wait longer, so that all together do not try more often when there are more of them.
-const FULL_RATE_NODES: f64 = 16.0;
+/// Nodes that are no readers try a source that does not answer so often all together, whatever their number: readers
+/// try more often, and tell them when it answers again. With waits that grew from a short one, 410 nodes that had just started
+/// made 584 calls in five seconds.
+const TRIES_PER_S: f64 = 10.0;
 
 /// What a node has of the source.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
@@ -104,12 +105,12 @@
         self.alone_at = now + SILENCE + Span(spread);
     }
 
-    /// The longest wait before the next try at a source that does not answer, where a node alone would wait `wait`.
+    /// The longest wait before the next try at a source that does not answer, where a reader would wait `wait`.
     pub fn retry_wait(&self, wait: Span) -> Span {
         if self.role.reads {
             return wait;
         }
-        wait.scale((self.nodes as f64 / FULL_RATE_NODES).max(1.0))
+        wait.max(Span((self.nodes as f64 / TRIES_PER_S * 1e6) as u64))
     }
 
     /// Whether a reader tells others now how far it is, because it has not for a while.
