--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -38,7 +38,7 @@
 /// But not before this time: all may have started at the same moment.
 const SETTLE_LEAST: Span = Span::from_millis(300);
 /// Nor later than after this one. It is better to begin with a part of the fleet known than to wait: in a fleet of 295 whose
-/// pools waited for all to be known, half as many pieces were made in the first two seconds after a start of all, although without
+/// pools waited for all to be known, a third as many pieces were made in the first two seconds after a start of all, although without
 /// waiting 50 nodes own nine shards for half a second and nine calls of ten meet a full target, which costs 2 ms each.
 const SETTLE_MOST: Span = Span::from_millis(600);
 /// A node to which nobody answered by then is taken to be alone.
