Sight: whether an answer left the process, and which connections were open at its end

The line of a call's end is written when the target's answer is whole, and a stop counted calls only, so neither told whether a caller had got anything. Now a connection that ends with a write waiting says so with its cause and the call's id, the end of a stop counts open connections, and both are metrics.

--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -25,6 +25,8 @@
     Misdirected,
     /// Connections that were closed because the head of a call came too slowly.
     SlowHead,
+    /// A caller's connection that ended while the kernel had not taken all of an answer.
+    Undelivered,
     /// Answers that came after their attempt had been given up.
     Late,
     /// Streams whose offsets left a gap.
@@ -60,6 +62,7 @@
             Self::RetryDenied => "retry_denied",
             Self::Misdirected => "misdirected",
             Self::SlowHead => "slow_head",
+            Self::Undelivered => "undelivered",
             Self::Late => "late",
             Self::Gap => "gap",
             Self::Joined => "joined",
--- a/crates/barleyspool_gateway/src/control/stop.rs
+++ b/crates/barleyspool_gateway/src/control/stop.rs
@@ -53,7 +53,13 @@
         tokio::time::sleep(LOOK).await;
         waited += LOOK;
     }
-    state.log.write(state.now(), &Line::Stopped { cut: in_flight() });
+    state.log.write(
+        state.now(),
+        &Line::Stopped {
+            cut: in_flight(),
+            open: shared.open_callers.load(Ordering::Relaxed),
+        },
+    );
     state.log.flush();
     std::process::exit(0);
 }
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -31,6 +31,8 @@
     Stopped {
         /// Calls that were cut off.
         cut: usize,
+        /// Callers' connections that were still open: answers may have been on their way on them.
+        open: usize,
     },
     /// The settings were read again.
     Reloaded {
@@ -230,6 +232,13 @@
         /// Milliseconds all in all.
         took_ms: u64,
     },
+    /// A caller's connection ended while the kernel had not taken all of an answer.
+    Undelivered {
+        /// The id of the call that was answered last on it.
+        id: &'a str,
+        /// What went wrong.
+        cause: &'a str,
+    },
     /// Lines were dropped in the last second.
     Dropped {
         /// How many.
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -79,6 +79,7 @@
             asked: AtomicU64::new(0),
             ask_failed: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
+            open_callers: AtomicUsize::new(0),
             closed: watch::Sender::new(false),
             listening: AtomicBool::new(false),
         });
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     Counter::RetryDenied,
     Counter::Misdirected,
     Counter::SlowHead,
+    Counter::Undelivered,
     Counter::Cancelled,
     Counter::Quarantined,
 ];
@@ -108,6 +109,9 @@
     gauge(meter, shared, "calls_in_flight", |shared| {
         shared.in_flight.load(Ordering::Relaxed) as u64
     });
+    gauge(meter, shared, "callers_connected", |shared| {
+        shared.open_callers.load(Ordering::Relaxed) as u64
+    });
 }
 
 /// A value that goes up and down, read when somebody looks.
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -38,6 +38,8 @@
     pub ask_failed: AtomicU64,
     /// Calls in flight.
     pub in_flight: AtomicUsize,
+    /// Callers' connections that are open.
+    pub open_callers: AtomicUsize,
     /// Set when the planned stop takes no new connections any more.
     pub closed: watch::Sender<bool>,
     /// Whether the traffic thread is listening.
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -88,6 +88,10 @@
     catalog: Arc<Catalog>,
 }
 
+/// The id of the call that an answer belongs to, for those who write the answer.
+#[derive(Clone)]
+pub struct CallId(pub String);
+
 /// Serves one call of a caller.
 pub async fn serve(traffic: Rc<Traffic>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = traffic.now();
@@ -107,11 +111,13 @@
         (Err(failure), _) | (_, Err(failure)) => return fail(&traffic, guard, &failure),
     };
     let call = call(&traffic, taken, parts, body, arrived);
+    let id = CallId(call.head.id.clone());
     let held = call.body.len() as u64;
     let memory = &traffic.held_bodies;
     memory.set(memory.get() + held);
-    let answer = run(call, guard).await;
+    let mut answer = run(call, guard).await;
     memory.set(memory.get().saturating_sub(held));
+    answer.extensions_mut().insert(id);
     answer
 }
 
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -1,14 +1,17 @@
 //! Accepting callers.
 
 use super::Traffic;
-use super::call;
-use super::head_watch::{HeadWatch, WatchedBody, WatchedIo};
+use super::call::{self, CallId};
+use super::caller_io::{CallerIo, Delivery, WatchedBody};
+use super::head_watch::HeadWatch;
+use crate::event_log::Line;
 use barleyspool_core::{CallerLimits, Counter, Span};
 use barleyspool_wire::net;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -37,16 +40,18 @@
 async fn serve_caller(traffic: Rc<Traffic>, stream: TcpStream) {
     let limits = limits(&traffic);
     let stopping = traffic.plan().stopping;
+    let _open = OpenCaller::new(&traffic);
     let heads = Rc::new(HeadWatch::default());
-    let io = WatchedIo {
-        io: TokioIo::new(stream),
-        watch: Rc::clone(&heads),
-    };
+    let delivery = Rc::new(Delivery::default());
+    let io = CallerIo::new(stream, &heads, &delivery);
     let service = service_fn(|request| {
-        let traffic = Rc::clone(&traffic);
+        let (traffic, delivery) = (Rc::clone(&traffic), Rc::clone(&delivery));
         let mark = heads.call();
         async move {
-            let response = call::serve(traffic, request).await;
+            let mut response = call::serve(traffic, request).await;
+            if let Some(CallId(id)) = response.extensions_mut().remove() {
+                delivery.last_call.replace(id);
+            }
             Ok::<_, Infallible>(response.map(|body| WatchedBody { body, mark }))
         }
     });
@@ -63,7 +68,7 @@
     loop {
         tokio::select! {
             // A caller that goes away ends its connection; what it waited for has been dropped with it.
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => return tell_undelivered(&traffic, &delivery, &ended),
             () = heads.overdue(duration(limits.head_time)) => {
                 traffic.count(Counter::SlowHead);
                 return;
@@ -78,6 +83,44 @@
     }
 }
 
+/// A connection that ends while the kernel has not taken all of an answer: the caller has not got it.
+fn tell_undelivered(traffic: &Traffic, delivery: &Delivery, ended: &hyper::Result<()>) {
+    let Err(error) = ended else { return };
+    if !delivery.waiting.get() {
+        return;
+    }
+    traffic.count(Counter::Undelivered);
+    let line = Line::Undelivered {
+        id: &delivery.last_call.borrow(),
+        cause: &with_source(error),
+    };
+    traffic.log.write(traffic.now(), &line);
+}
+
+/// What the library says, with what the operating system said to it.
+fn with_source(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
+/// Counts a caller's connection while it is open.
+struct OpenCaller(Rc<Traffic>);
+
+impl OpenCaller {
+    fn new(traffic: &Rc<Traffic>) -> Self {
+        traffic.shared.open_callers.fetch_add(1, Ordering::Relaxed);
+        Self(Rc::clone(traffic))
+    }
+}
+
+impl Drop for OpenCaller {
+    fn drop(&mut self) {
+        self.0.shared.open_callers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn limits(traffic: &Traffic) -> CallerLimits {
     let plan = traffic.plan();
     plan.catalog
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod answer_body;
 mod call;
 mod call_guard;
+mod caller_io;
 mod callers;
 mod connections;
 mod final_send;
