A planned stop waits until callers have their answers, not until this node has made them

Cause: a call was done when its answer had been handed to the next buffer, and the process ended when no call was in flight. What lay in the channel of a stream, in the HTTP library, or came as a body that was not whole yet, went with the process. Ruled out: the kernel's own buffers (what they hold is sent after the end), the target's side (its answers were whole). Mend: open connections of callers are counted from the moment they are taken until all is written, and PlannedStop, stepped by time and by that count, says when the process may end. It goes by the clock.

--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod piece_queue;
 mod piece_time;
 mod plan;
+mod planned_stop;
 mod pool_shards;
 mod pool_target;
 mod pool_wait;
@@ -50,6 +51,7 @@
 };
 pub use piece_queue::PieceQueue;
 pub use plan::{ForwardPlan, MemberView};
+pub use planned_stop::{PlannedStop, StopPhase};
 pub use pool_shards::PoolShards;
 pub use pool_target::PoolTarget;
 pub use prefix_memory::PrefixMemory;
--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -36,8 +36,8 @@
     /// Whether the nodes are likely to be all there are. A node that has just started knows a few at first and
     /// would take pools for its own that others own.
     pub settled: bool,
-    /// Whether a planned stop is under way.
-    pub stopping: bool,
+    /// When the last answers are given; `None` while no stop was asked for.
+    pub last_answers: Option<Time>,
 }
 
 impl ForwardPlan {
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/planned_stop.rs
@@ -0,0 +1,77 @@
+//! What a node does from the moment it is asked to stop until its process may end.
+//!
+//! A call is done when its caller has the answer, not when this node has made it. So a stop counts open connections of
+//! callers, and ends when there are none. See docs/DESIGN.md, "A planned stop".
+
+use crate::{Span, Time};
+
+/// How long connections at rest may still bring a call after the last connection was taken. A caller that was connected sends
+/// its call at once, so this covers its way and a thread that is kept from running for a while.
+const LAST_CALLS: Span = Span::from_millis(200);
+/// How long before the end what is not done is answered with what became of it: time for a refusal to be written and read,
+/// also on a node that gets a tenth of a core.
+const LAST_ANSWERS: Span = Span::from_millis(300);
+
+/// What a node does with calls and connections.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// No stop was asked for.
+    #[default]
+    Serving,
+    /// Calls and connections are taken as before, since callers keep addresses; each answer closes its connection.
+    Leaving,
+    /// The door is to be closed: connections that wait are taken, then no more. Open ones may still bring a call.
+    Closing,
+    /// What was taken is finished; connections at rest are closed, and a call that comes now is refused.
+    Finishing,
+    /// Whatever is not done is answered with what became of it.
+    Cutting,
+    /// The process may end.
+    Over,
+}
+
+/// A planned stop, stepped by time and by what is still open.
+#[derive(Copy, Clone, Debug)]
+pub struct PlannedStop {
+    began: Time,
+    accept: Span,
+    end: Span,
+    door_closed: Option<Time>,
+}
+
+impl PlannedStop {
+    /// A stop was asked for: connections are taken for `accept`, and the process ends after `end` at the latest.
+    pub fn new(now: Time, accept: Span, end: Span) -> Self {
+        Self {
+            began: now,
+            accept,
+            end,
+            door_closed: None,
+        }
+    }
+
+    /// Every connection that had been made was taken, and no new one can be made.
+    pub fn door_closed(&mut self, now: Time) {
+        self.door_closed.get_or_insert(now);
+    }
+
+    /// When the last answers are given: no call that is taken during the stop may last longer.
+    pub fn last_answers(&self) -> Time {
+        self.began + Span(self.end.0.saturating_sub(LAST_ANSWERS.0))
+    }
+
+    /// The phase at `now`, while `open` connections of callers are open.
+    pub fn phase(&self, now: Time, open: usize) -> StopPhase {
+        if now >= self.began + self.end {
+            return StopPhase::Over;
+        }
+        match self.door_closed {
+            // Connections that nobody has taken yet are not among the open ones.
+            Some(closed) if now >= closed + LAST_CALLS && open == 0 => StopPhase::Over,
+            _ if now >= self.last_answers() => StopPhase::Cutting,
+            Some(closed) if now >= closed + LAST_CALLS => StopPhase::Finishing,
+            _ if now >= self.began + self.accept => StopPhase::Closing,
+            _ => StopPhase::Leaving,
+        }
+    }
+}
--- /dev/null
+++ b/crates/barleyspool_core/tests/forward_stop.rs
@@ -0,0 +1,82 @@
+//! A planned stop ends when nothing is owed to callers any more, and by its time in any case.
+
+#![allow(clippy::unwrap_used, clippy::panic, reason = "a test stops where it fails")]
+
+use barleyspool_core::{PlannedStop, Span, StopPhase, Time};
+use quickcheck::quickcheck;
+
+const ACCEPT: Span = Span::from_millis(2500);
+const END: Span = Span::from_millis(7200);
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(1_000_000 + ms)
+}
+
+fn stop() -> PlannedStop {
+    PlannedStop::new(at(0), ACCEPT, END)
+}
+
+#[test]
+fn a_stop_goes_through_its_phases_and_ends_when_no_connection_is_open() {
+    let mut stop = stop();
+    assert_eq!(stop.phase(at(0), 3), StopPhase::Leaving);
+    assert_eq!(stop.phase(at(2499), 0), StopPhase::Leaving);
+    assert_eq!(stop.phase(at(2500), 3), StopPhase::Closing);
+    stop.door_closed(at(2510));
+    assert_eq!(
+        stop.phase(at(2709), 0),
+        StopPhase::Closing,
+        "a call may be on its way"
+    );
+    assert_eq!(stop.phase(at(2710), 1), StopPhase::Finishing);
+    assert_eq!(stop.phase(at(2710), 0), StopPhase::Over);
+}
+
+/// A traffic thread that was kept from running has not taken the connections that wait: none is open, and yet there are some.
+#[test]
+fn a_stop_does_not_end_before_the_door_is_closed() {
+    assert_eq!(stop().phase(at(6000), 0), StopPhase::Closing);
+}
+
+/// A thread that slept through all of it still gives connections that were just taken time to bring their calls.
+#[test]
+fn calls_have_their_time_however_late_the_door_was_closed() {
+    let mut stop = stop();
+    stop.door_closed(at(4000));
+    assert_eq!(stop.phase(at(4100), 40), StopPhase::Closing);
+    stop.door_closed(at(4150));
+    assert_eq!(
+        stop.phase(at(4200), 40),
+        StopPhase::Finishing,
+        "the first word counts"
+    );
+}
+
+#[test]
+fn what_is_not_done_is_answered_before_the_end() {
+    let mut stop = stop();
+    stop.door_closed(at(2500));
+    assert_eq!(stop.phase(at(6899), 1), StopPhase::Finishing);
+    assert_eq!(stop.phase(at(6900), 1), StopPhase::Cutting);
+    assert_eq!(stop.last_answers(), at(6900));
+    assert_eq!(stop.phase(at(7200), 1), StopPhase::Over);
+}
+
+quickcheck! {
+    fn phases_only_go_forward_and_nothing_open_is_left_early(closed: u16, steps: Vec<u16>, open: u8) -> bool {
+        let mut stop = stop();
+        let closed = u64::from(closed % 9000);
+        let (mut now, mut last) = (0, StopPhase::Leaving);
+        steps.into_iter().all(|step| {
+            now += u64::from(step % 700);
+            if now >= closed.max(2500) {
+                stop.door_closed(at(now));
+            }
+            let phase = stop.phase(at(now), usize::from(open));
+            let forward = phase >= last;
+            last = phase;
+            let early = phase == StopPhase::Over && open > 0 && now < 7200;
+            forward && !early && (now < 7200 || phase == StopPhase::Over)
+        })
+    }
+}
--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -277,7 +277,7 @@
         });
         let own = settings.members.to_string();
         // A node on its way out hears of changes from those that stay.
-        let this = (!self.stopping.get()).then_some(ReaderCandidate {
+        let this = (!self.stopping()).then_some(ReaderCandidate {
             address: &own,
             key: me,
             zone: &settings.zone,
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -64,8 +64,8 @@
     pub reading: Reading,
     /// Whether the nodes that are known are likely to be all there are.
     pub settled: Cell<bool>,
-    /// Whether a planned stop is under way.
-    pub stopping: Cell<bool>,
+    /// When the last answers of a planned stop are given; `None` while no stop was asked for.
+    pub last_answers: Cell<Option<Time>>,
 }
 
 impl ControlState {
@@ -102,7 +102,7 @@
             members_changed: Notify::new(),
             reading,
             settled: Cell::new(false),
-            stopping: Cell::new(false),
+            last_answers: Cell::new(None),
         }
     }
 
@@ -111,9 +111,14 @@
         self.shared.clock.now()
     }
 
+    /// Whether a planned stop is under way.
+    pub fn stopping(&self) -> bool {
+        self.last_answers.get().is_some()
+    }
+
     /// Whether this node takes calls.
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && self.catalogs.borrow().catalog.is_some() && self.targets_known.get()
+        !self.stopping() && self.catalogs.borrow().catalog.is_some() && self.targets_known.get()
     }
 
     // ------------------------------------------------------------------------
@@ -333,7 +338,7 @@
             members: Arc::new(members),
             me: self.key(),
             settled: self.settled.get(),
-            stopping: self.stopping.get(),
+            last_answers: self.last_answers.get(),
         }
     }
 }
--- a/crates/barleyspool_gateway/src/control/stop.rs
+++ b/crates/barleyspool_gateway/src/control/stop.rs
@@ -3,7 +3,7 @@
 use super::state::ControlState;
 use crate::event_log::Line;
 use crate::settings::GatewaySettings;
-use barleyspool_core::MemberEvent;
+use barleyspool_core::{MemberEvent, PlannedStop, Span, StopPhase};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -12,16 +12,15 @@
 
 /// How often the settings file is looked at; one call to the operating system each time.
 const SETTINGS_LOOK: Duration = Duration::from_secs(3);
-/// How often a stopping node looks whether its calls are done.
-const LOOK: Duration = Duration::from_millis(50);
+/// How often a stopping node looks whether anything is left to do; what a stop may take longer than it has to.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// When a file was written; `None` while it is not there, as when it is being replaced.
 fn written_at(file: &Path) -> Option<SystemTime> {
     std::fs::metadata(file).and_then(|file| file.modified()).ok()
 }
 
-/// Waits for SIGTERM or SIGINT, then stops in order: not ready and out of the others' answers at once; calls
-/// are taken a while longer from callers that still have the address; then what is in flight is finished.
+/// Waits for SIGTERM or SIGINT, then stops in order, phase by phase ([`StopPhase`]), and ends the process.
 pub async fn stop_on_signal(state: Rc<ControlState>) {
     let (Ok(mut term), Ok(mut interrupt)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
@@ -32,38 +31,47 @@
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
     }
+    let mut stop = begin(&state);
     let shared = &state.shared;
-    let in_flight = || shared.in_flight.load(Ordering::Relaxed);
-    state.log.write(
-        state.now(),
-        &Line::Stopping {
-            in_flight: in_flight(),
-        },
-    );
-    state.stopping.set(true);
-    state.step_members(MemberEvent::Leave);
-    state.publish();
-    let settings = &shared.settings;
-    let accept = Duration::from_millis(settings.stop_accept_ms);
-    let end = Duration::from_millis(settings.stop_end_ms);
-    tokio::time::sleep(accept).await;
-    shared.closed.send_replace(true);
-    let mut waited = accept;
-    while in_flight() > 0 && waited < end {
+    loop {
+        if shared.door_closed.load(Ordering::Acquire) {
+            stop.door_closed(state.now());
+        }
+        let open = shared.open_callers.load(Ordering::Acquire);
+        let phase = stop.phase(state.now(), open);
+        if phase == StopPhase::Over {
+            break;
+        }
+        shared
+            .stop
+            .send_if_modified(|last| std::mem::replace(last, phase) != phase);
         tokio::time::sleep(LOOK).await;
-        waited += LOOK;
     }
-    state.log.write(
-        state.now(),
-        &Line::Stopped {
-            cut: in_flight(),
-            open: shared.open_callers.load(Ordering::Relaxed),
-        },
-    );
+    let line = Line::Stopped {
+        cut: shared.in_flight.load(Ordering::Relaxed),
+        open: shared.open_callers.load(Ordering::Relaxed),
+    };
+    state.log.write(state.now(), &line);
     state.log.flush();
     std::process::exit(0);
 }
 
+/// Takes this node out of all answers, and tells the traffic thread.
+fn begin(state: &ControlState) -> PlannedStop {
+    let settings = &state.shared.settings;
+    let accept = Span::from_millis(settings.stop_accept_ms);
+    let end = Span::from_millis(settings.stop_end_ms);
+    let stop = PlannedStop::new(state.now(), accept, end);
+    let line = Line::Stopping {
+        in_flight: state.shared.in_flight.load(Ordering::Relaxed),
+    };
+    state.log.write(state.now(), &line);
+    state.last_answers.set(Some(stop.last_answers()));
+    state.step_members(MemberEvent::Leave);
+    state.publish();
+    stop
+}
+
 /// Reads the settings again on SIGHUP, and when their file has changed without one. Seeds come into force; whatever
 /// else changed waits for a restart. A bad file is refused whole.
 pub async fn reload(state: Rc<ControlState>, file: PathBuf) {
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -80,7 +80,8 @@
             ask_failed: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             open_callers: AtomicUsize::new(0),
-            closed: watch::Sender::new(false),
+            stop: watch::Sender::default(),
+            door_closed: AtomicBool::new(false),
             listening: AtomicBool::new(false),
         });
         let settings = &shared.settings;
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::GatewaySettings;
 use arc_swap::ArcSwap;
-use barleyspool_core::{Counters, ForwardPlan};
+use barleyspool_core::{Counters, ForwardPlan, StopPhase};
 use barleyspool_wire::Clock;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use tokio::sync::watch;
@@ -40,8 +40,10 @@
     pub in_flight: AtomicUsize,
     /// Callers' connections that are open.
     pub open_callers: AtomicUsize,
-    /// Set when the planned stop takes no new connections any more.
-    pub closed: watch::Sender<bool>,
+    /// How far a planned stop is.
+    pub stop: watch::Sender<StopPhase>,
+    /// Set when every connection of a caller that had been made was taken, and no new one can be made.
+    pub door_closed: AtomicBool,
     /// Whether the traffic thread is listening.
     pub listening: AtomicBool,
 }
@@ -52,6 +54,11 @@
         self.source_calls.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Whether a planned stop has come to `phase`.
+    pub fn stop_reached(&self, phase: StopPhase) -> bool {
+        *self.stop.borrow() >= phase
+    }
+
     /// Counts a question to another node for what is newer there.
     pub fn count_asked(&self, answered: bool) {
         self.asked.fetch_add(1, Ordering::Relaxed);
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -5,7 +5,7 @@
 use super::caller_io::{CallerIo, Delivery, WatchedBody};
 use super::head_watch::HeadWatch;
 use crate::event_log::Line;
-use barleyspool_core::{CallerLimits, Counter, Span};
+use barleyspool_core::{CallerLimits, Counter, Span, StopPhase};
 use barleyspool_wire::net;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
@@ -21,26 +21,29 @@
 
 /// Accepts callers until the planned stop closes the door, then no more.
 pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener) {
-    let mut closed = traffic.shared.closed.subscribe();
+    let mut stop = traffic.shared.stop.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = net::accept(&listener) => accepted,
-            _ = closed.wait_for(|closed| *closed) => return,
+            _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => break,
         };
         match accepted {
             Ok(stream) => {
-                spawn_local(serve_caller(Rc::clone(&traffic), stream));
+                let open = OpenCaller::new(&traffic);
+                spawn_local(serve_caller(open, stream));
             }
             // Out of descriptors, most likely: give others the time to close some.
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
+    drop(listener);
+    traffic.shared.door_closed.store(true, Ordering::Release);
 }
 
-async fn serve_caller(traffic: Rc<Traffic>, stream: TcpStream) {
+async fn serve_caller(open: OpenCaller, stream: TcpStream) {
+    let traffic = Rc::clone(&open.0);
     let limits = limits(&traffic);
-    let stopping = traffic.plan().stopping;
-    let _open = OpenCaller::new(&traffic);
+    let stopping = traffic.shared.stop_reached(StopPhase::Leaving);
     let heads = Rc::new(HeadWatch::default());
     let delivery = Rc::new(Delivery::default());
     let io = CallerIo::new(stream, &heads, &delivery);
@@ -63,7 +66,7 @@
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
-    let mut plans = traffic.shared.plan_changed.subscribe();
+    let mut stop = traffic.shared.stop.subscribe();
     let mut closing = stopping;
     loop {
         tokio::select! {
@@ -73,11 +76,9 @@
                 traffic.count(Counter::SlowHead);
                 return;
             }
-            Ok(()) = plans.changed(), if !closing => {
-                closing = traffic.shared.plan.load().stopping;
-                if closing {
-                    connection.as_mut().graceful_shutdown();
-                }
+            _ = stop.wait_for(|phase| *phase >= StopPhase::Leaving), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
             }
         }
     }
@@ -105,19 +106,19 @@
     }
 }
 
-/// Counts a caller's connection while it is open.
+/// Counts a caller's connection from the moment it is taken until all is written; a planned stop waits for it.
 struct OpenCaller(Rc<Traffic>);
 
 impl OpenCaller {
     fn new(traffic: &Rc<Traffic>) -> Self {
-        traffic.shared.open_callers.fetch_add(1, Ordering::Relaxed);
+        traffic.shared.open_callers.fetch_add(1, Ordering::AcqRel);
         Self(Rc::clone(traffic))
     }
 }
 
 impl Drop for OpenCaller {
     fn drop(&mut self) {
-        self.0.shared.open_callers.fetch_sub(1, Ordering::Relaxed);
+        self.0.shared.open_callers.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
