A caller's connection is closed in two steps, and only when nothing can be on its way on it

Cause: closing a socket resets it when there are bytes that nobody has read, and a closed listening socket resets the connections that nobody has taken. A stop closed connections at rest at once, with calls on their way; a call sent behind another one took along what the kernel had not sent yet of the first answer. Mend: an answer during a stop says that its connection closes, connections at rest stay until the last calls had their time, connections that the kernel has made are taken before the listening socket goes, and every close is first one for writing; the rest is read and dropped until the caller has closed, for a second after the last written byte. What has arrived is read before a connection is closed for being late.

--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -1,7 +1,9 @@
 //! A caller's connection, between the socket and the HTTP library.
 //!
 //! The library does not tell whether what it was given has left the process. This layer sees the socket: when the first
-//! bytes of a head come ([`HeadWatch`]), and whether the kernel takes what is written ([`Delivery`]).
+//! bytes of a head come ([`HeadWatch`]), and whether the kernel takes what is written ([`Delivery`]). It closes in two
+//! steps: first for writing, then, when the caller has closed too or after [`LINGER`], altogether. A socket that is closed
+//! with unread bytes is reset, and a reset takes along what the kernel has not sent yet.
 
 use super::answer_body::AnswerBody;
 use super::head_watch::{CallMark, HeadWatch};
@@ -12,14 +14,25 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// How long after the last written byte a connection is read on before it is closed altogether. A caller that takes a megabyte
+/// a second gets all that the kernel may hold of an answer when its next call comes meanwhile; longer holds up a planned stop.
+const LINGER: Duration = Duration::from_secs(1);
+/// Bytes read at once from a connection on which nothing is answered any more.
+const DISCARDED: usize = 4096;
 
 /// Whether a connection's answers leave the process.
 #[derive(Default)]
 pub struct Delivery {
     /// Whether the kernel did not take all of the last write: the caller reads more slowly than it is answered.
     pub waiting: Cell<bool>,
+    /// When the kernel last took bytes.
+    written: Cell<Option<Instant>>,
     /// The id of the call that was answered last.
     pub last_call: RefCell<String>,
 }
@@ -29,6 +42,8 @@
     io: TokioIo<TcpStream>,
     heads: Rc<HeadWatch>,
     delivery: Rc<Delivery>,
+    /// The end of lingering; `None` while answers may be written.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerIo {
@@ -38,13 +53,31 @@
             io: TokioIo::new(stream),
             heads: Rc::clone(heads),
             delivery: Rc::clone(delivery),
+            linger: None,
         }
     }
 
     fn noted<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         self.delivery.waiting.set(written.is_pending());
+        if written.is_ready() {
+            self.delivery.written.set(Some(Instant::now()));
+        }
         written
     }
+
+    /// Reads and drops what comes until the caller has closed.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DISCARDED];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let stream = Pin::new(self.io.inner_mut());
+            match ready!(stream.poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => {}
+                // A caller that resets wants nothing more.
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
 }
 
 impl Read for CallerIo {
@@ -76,7 +109,19 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.io).poll_shutdown(context))?;
+            self.heads.closed();
+            let until = self.delivery.written.get().map(|written| written + LINGER);
+            self.linger = Some(Box::pin(sleep_until(until.unwrap_or_else(Instant::now))));
+        }
+        if self.poll_discard(context).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        match &mut self.linger {
+            Some(linger) => linger.as_mut().poll(context).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -7,6 +7,7 @@
 use crate::event_log::Line;
 use barleyspool_core::{CallerLimits, Counter, Span, StopPhase};
 use barleyspool_wire::net;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
@@ -19,7 +20,10 @@
 /// The least buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8192;
 
-/// Accepts callers until the planned stop closes the door, then no more.
+/// The header that tells a caller to make a new connection for its next call.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
+/// Accepts callers until the planned stop closes the door, then those that are connected already, then no more.
 pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener) {
     let mut stop = traffic.shared.stop.subscribe();
     loop {
@@ -36,14 +40,16 @@
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
-    drop(listener);
+    for stream in net::accept_waiting(listener) {
+        let open = OpenCaller::new(&traffic);
+        spawn_local(serve_caller(open, stream));
+    }
     traffic.shared.door_closed.store(true, Ordering::Release);
 }
 
 async fn serve_caller(open: OpenCaller, stream: TcpStream) {
     let traffic = Rc::clone(&open.0);
     let limits = limits(&traffic);
-    let stopping = traffic.shared.stop_reached(StopPhase::Leaving);
     let heads = Rc::new(HeadWatch::default());
     let delivery = Rc::new(Delivery::default());
     let io = CallerIo::new(stream, &heads, &delivery);
@@ -51,7 +57,10 @@
         let (traffic, delivery) = (Rc::clone(&traffic), Rc::clone(&delivery));
         let mark = heads.call();
         async move {
-            let mut response = call::serve(traffic, request).await;
+            let mut response = call::serve(Rc::clone(&traffic), request).await;
+            if traffic.shared.stop_reached(StopPhase::Leaving) {
+                response.headers_mut().insert(CONNECTION, CLOSE);
+            }
             if let Some(CallId(id)) = response.extensions_mut().remove() {
                 delivery.last_call.replace(id);
             }
@@ -60,23 +69,24 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .keep_alive(!stopping)
         // Callers may take a rested connection up again until the idle time; a head that has begun is watched apart.
         .header_read_timeout(duration(limits.idle_time))
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     let mut stop = traffic.shared.stop.subscribe();
-    let mut closing = stopping;
+    let mut closing = false;
     loop {
         tokio::select! {
+            // What has arrived is read before anything is closed for being late.
+            biased;
             // A caller that goes away ends its connection; what it waited for has been dropped with it.
             ended = connection.as_mut() => return tell_undelivered(&traffic, &delivery, &ended),
             () = heads.overdue(duration(limits.head_time)) => {
                 traffic.count(Counter::SlowHead);
                 return;
             }
-            _ = stop.wait_for(|phase| *phase >= StopPhase::Leaving), if !closing => {
+            _ = stop.wait_for(|phase| *phase >= StopPhase::Finishing), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/barleyspool_gateway/src/traffic/head_watch.rs
+++ b/crates/barleyspool_gateway/src/traffic/head_watch.rs
@@ -35,6 +35,12 @@
         CallMark(Rc::clone(self))
     }
 
+    /// Nothing more is read as a call.
+    pub fn closed(&self) {
+        self.since.set(None);
+        self.calls.set(self.calls.get() + 1);
+    }
+
     /// Waits until a head takes longer than `limit`.
     pub async fn overdue(&self, limit: Duration) {
         loop {
--- a/crates/barleyspool_wire/src/net.rs
+++ b/crates/barleyspool_wire/src/net.rs
@@ -69,6 +69,24 @@
     Ok(stream)
 }
 
+/// Takes every connection that the kernel has made, and listens no more.
+///
+/// A listening socket that is closed resets the connections that nobody has taken, with the calls that were sent on them.
+/// An error, for want of file descriptors for instance, ends it early: what still waits is reset.
+pub fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let taken = listener.incoming().map_while(Result::ok);
+    let prepared = taken.filter_map(|stream| {
+        stream.set_nonblocking(true).ok()?;
+        let stream = TcpStream::from_std(stream).ok()?;
+        prepare(&stream).ok()?;
+        Some(stream)
+    });
+    prepared.collect()
+}
+
 /// The connections of a listener as a stream, for servers that want one. A failed accept is skipped.
 pub fn incoming(listener: TcpListener) -> impl futures::Stream<Item = io::Result<TcpStream>> {
     futures::stream::unfold(listener, |listener| async {
