Callers may read as slowly as they like: no limit on unacknowledged bytes on their connections

Cause: TCP_USER_TIMEOUT of 3 s stood on every connection. The kernel counts the time in which the other side's window is closed too, so a caller that was there and read nothing for 3 s lost its answer, planned work or not ('undelivered' 3.3 s after it stopped reading). Ruled out: a time-out of this process (none had run out; the call's own was 10 s). Mend: the limit stays between processes of the deployment and to targets, where it tells of a node without power. Callers' connections have keep-alive probes at rest, and end when the caller has taken nothing for as long as any call may last.

--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -29,7 +29,7 @@
 /// When to come back to a node that holds too many bodies.
 const MEMORY_WAIT: Span = Span::from_millis(500);
 /// The longest time that a call is held when neither it nor its route says.
-const LONGEST: Span = Span::from_secs(60);
+pub const LONGEST: Span = Span::from_secs(60);
 
 /// A call that was taken.
 pub struct Call {
--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -6,6 +6,7 @@
 //! with unread bytes is reset, and a reset takes along what the kernel has not sent yet.
 
 use super::answer_body::AnswerBody;
+use super::call::LONGEST;
 use super::head_watch::{CallMark, HeadWatch};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -18,11 +19,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 /// How long after the last written byte a connection is read on before it is closed altogether. A caller that takes a megabyte
 /// a second gets all that the kernel may hold of an answer when its next call comes meanwhile; longer holds up a planned stop.
 const LINGER: Duration = Duration::from_secs(1);
+/// How long a caller may take nothing of what is written before its connection ends. No call is held longer than this
+/// ([`LONGEST`]), so a caller that takes nothing for so long has given up or has lost power.
+const STALLED: Duration = Duration::from_micros(LONGEST.0);
 /// Bytes read at once from a connection on which nothing is answered any more.
 const DISCARDED: usize = 4096;
 
@@ -44,6 +48,8 @@
     delivery: Rc<Delivery>,
     /// The end of lingering; `None` while answers may be written.
     linger: Option<Pin<Box<Sleep>>>,
+    /// When the caller has taken nothing for too long; `None` while it takes what is written.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerIo {
@@ -54,15 +60,21 @@
             heads: Rc::clone(heads),
             delivery: Rc::clone(delivery),
             linger: None,
+            stalled: None,
         }
     }
 
-    fn noted<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    /// Notes what became of a write; one that has waited for [`STALLED`] fails.
+    fn noted<T>(&mut self, written: Poll<io::Result<T>>, context: &mut Context<'_>) -> Poll<io::Result<T>> {
         self.delivery.waiting.set(written.is_pending());
         if written.is_ready() {
             self.delivery.written.set(Some(Instant::now()));
+            self.stalled = None;
+            return written;
         }
-        written
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALLED)));
+        ready!(stalled.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Reads and drops what comes until the caller has closed.
@@ -101,7 +113,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write(context, bytes);
-        self.noted(written)
+        self.noted(written, context)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -134,7 +146,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write_vectored(context, parts);
-        self.noted(written)
+        self.noted(written, context)
     }
 }
 
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -28,7 +28,7 @@
     let mut stop = traffic.shared.stop.subscribe();
     loop {
         let accepted = tokio::select! {
-            accepted = net::accept(&listener) => accepted,
+            accepted = net::accept_caller(&listener) => accepted,
             _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => break,
         };
         match accepted {
--- a/crates/barleyspool_wire/src/net.rs
+++ b/crates/barleyspool_wire/src/net.rs
@@ -14,7 +14,8 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer that end a connection.
 const KEEPALIVE_RETRIES: u32 = 3;
-/// How long written bytes may stay unacknowledged before the connection ends.
+/// How long written bytes may stay unacknowledged before a connection between processes of the deployment ends. The kernel also
+/// counts the time in which the other side takes nothing, so connections of callers, who may read slowly, have no such limit.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
@@ -28,10 +29,11 @@
     let address: SocketAddr = address.parse().map_err(io::Error::other)?;
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     prepare(&stream)?;
+    bound_unacknowledged(&stream)?;
     Ok(stream)
 }
 
-/// Sets what every connection needs: no delay of small writes, and an end within seconds when the other side
+/// Sets what every connection needs: no delay of small writes, and an end within seconds when it is at rest and the other side
 /// has lost power or is cut off, which no reset tells.
 fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
@@ -40,8 +42,12 @@
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
         .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// Ends a connection within seconds also while written bytes wait to be acknowledged: probes are sent at rest only.
+fn bound_unacknowledged(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
 
 /// Listens on an IP number and port. Several traffic threads may listen on the same.
@@ -59,17 +65,27 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts one connection.
+/// Accepts one connection of another process of the deployment.
 ///
 /// # Errors
 /// When the operating system refuses, for instance for want of file descriptors.
 pub async fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+    let stream = accept_caller(listener).await?;
+    bound_unacknowledged(&stream)?;
+    Ok(stream)
+}
+
+/// Accepts one connection of a caller, which lasts however slowly the caller reads.
+///
+/// # Errors
+/// When the operating system refuses, for instance for want of file descriptors.
+pub async fn accept_caller(listener: &TcpListener) -> io::Result<TcpStream> {
     let (stream, _) = listener.accept().await?;
     prepare(&stream)?;
     Ok(stream)
 }
 
-/// Takes every connection that the kernel has made, and listens no more.
+/// Takes every connection of callers that the kernel has made, and listens no more.
 ///
 /// A listening socket that is closed resets the connections that nobody has taken, with the calls that were sent on them.
 /// An error, for want of file descriptors for instance, ends it early: what still waits is reset.
