A stop gives every call an answer before the process ends

Cause: a call that could not be done by the end of a stop was cut with the process, without a word of whether it had run, and a call could be taken so late in a stop that this was sure. A call that is taken during a stop has its end before that, so admission refuses what cannot be done in time, and its target is told how long it has. After the last connections had their time a call that still comes is refused as not run. An answer that is ready goes before every time-out.

--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -4,9 +4,10 @@
 use super::call::Call;
 use super::peers::Owner;
 use super::stages;
+use super::stopping;
 use crate::event_log::Line;
 use crate::failure::CallFailure;
-use barleyspool_core::{ForwardPlan, PoolSpec, Reason, Route, Span};
+use barleyspool_core::{ForwardPlan, PoolSpec, Reason, Route, Span, StopPhase};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -23,6 +24,9 @@
     let aim = call.route.aim;
     let late = expected > aim.scale(AIM_MARGIN) && forecast.wait > aim.scale(WAIT_SHARE);
     let hopeless = now + expected > call.deadline && forecast.wait > Span::ZERO;
+    if call.traffic.shared.stop_reached(StopPhase::Leaving) && now + expected > call.deadline {
+        return Err(stopping::refusal());
+    }
     if late || hopeless {
         let line = Line::Refused {
             id: &call.head.id,
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -9,6 +9,7 @@
 use super::placement;
 use super::results::Results;
 use super::stages;
+use super::stopping;
 use crate::failure::CallFailure;
 use barleyspool_core::{
     CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, rendezvous,
@@ -127,6 +128,9 @@
         let failure = CallFailure::not_run(Reason::BadCall);
         failure.at(&cause, "")
     })?;
+    if stopping::is_too_late(traffic) {
+        return Err(stopping::refusal());
+    }
     let plan = traffic.plan();
     let Some(catalog) = plan.catalog.clone() else {
         return Err(CallFailure::not_run(Reason::NoConfiguration).after(CATCH_UP_WAIT));
@@ -194,7 +198,7 @@
         engine_memory: engine.map(|engine| engine.memory_tokens),
         copies: engine.is_some_and(|engine| engine.copies),
         service,
-        deadline: arrived + patience(&taken.head, &taken.route),
+        deadline: stopping::bounded(traffic, arrived + patience(&taken.head, &taken.route)),
         head: taken.head,
         route: taken.route,
         organisation: taken.organisation,
@@ -248,12 +252,12 @@
     let left = duration(call.deadline.since(traffic.now()));
     let guard = Rc::new(guard);
     let work = answer(Rc::clone(&call), Rc::clone(&guard));
-    let answered = match tokio::time::timeout(left, work).await {
-        Ok(answered) => answered,
-        Err(_) if call.sending.get() || call.history.get().may_have_run => {
-            Err(CallFailure::unknown(Reason::RouteTimeout))
-        }
-        Err(_) => Err(CallFailure::not_run(Reason::DeadlineMissed)),
+    let answered = tokio::select! {
+        // An answer that is ready is delivered, however late it is.
+        biased;
+        answered = work => answered,
+        () = tokio::time::sleep(left) => Err(time_over(&call)),
+        () = stopping::cut(&traffic) => Err(cut_off(&call)),
     };
     match answered {
         Ok(response) => response,
@@ -265,6 +269,24 @@
     }
 }
 
+/// A call whose time is over.
+fn time_over(call: &Call) -> CallFailure {
+    if call.may_have_run() {
+        CallFailure::unknown(Reason::RouteTimeout)
+    } else {
+        CallFailure::not_run(Reason::DeadlineMissed)
+    }
+}
+
+/// A call that is not done when the process is about to end.
+fn cut_off(call: &Call) -> CallFailure {
+    if call.may_have_run() {
+        CallFailure::unknown(Reason::Leaving)
+    } else {
+        stopping::refusal()
+    }
+}
+
 async fn answer(call: Rc<Call>, guard: Rc<CallGuard>) -> Result<Response<AnswerBody>, CallFailure> {
     let mut results = Results::new(&call.traffic);
     let mut run = StageRun::new(&call.route.stages, &call.head.pieces);
@@ -284,6 +306,11 @@
 }
 
 impl Call {
+    /// Whether a target runs it or may have run it.
+    fn may_have_run(&self) -> bool {
+        self.sending.get() || self.history.get().may_have_run
+    }
+
     /// What its target must offer.
     pub fn need(&self) -> Need {
         let affinity = self.route.affinity;
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod results;
 mod send_request;
 mod stages;
+mod stopping;
 mod stream_relay;
 
 use crate::edges::Edges;
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -8,6 +8,7 @@
 use super::final_send::{self, SendGuard, Sent};
 use super::results::Results;
 use super::stages;
+use super::stopping;
 use crate::failure::CallFailure;
 use barleyspool_core::{NextStep, Reason, SendEnd, Span, StageRun, next_step};
 use bytes::{Bytes, BytesMut};
@@ -56,6 +57,7 @@
     Broken,
     CallerLeft,
     TimeOver,
+    Stopped,
 }
 
 /// Starts to pass a stream on.
@@ -88,6 +90,7 @@
         match pass_on(&mut relay, &mut passed, &sender).await {
             StreamEnd::Whole => return whole(relay),
             StreamEnd::CallerLeft => return,
+            StreamEnd::Stopped => return broken(&relay, &sender, Reason::Leaving).await,
             StreamEnd::TimeOver => return broken(&relay, &sender, Reason::RouteTimeout).await,
             StreamEnd::Broken => {
                 relay.send.end(SendEnd::BrokenOff);
@@ -121,11 +124,16 @@
     let resumable = relay.call.route.resumable;
     let left = relay.call.deadline.since(relay.call.traffic.now());
     let mut time_over = std::pin::pin!(tokio::time::sleep(duration(left)));
+    let traffic = Rc::clone(&relay.call.traffic);
+    let mut cut = std::pin::pin!(stopping::cut(&traffic));
     loop {
         let frame = tokio::select! {
+            // What is ready is delivered, however late it is.
+            biased;
             frame = next_frame(&mut relay.body) => frame,
             () = sender.closed() => return StreamEnd::CallerLeft,
             () = &mut time_over => return StreamEnd::TimeOver,
+            () = &mut cut => return StreamEnd::Stopped,
         };
         let data = match frame {
             None if passed.is_between_events() => return StreamEnd::Whole,
@@ -142,8 +150,10 @@
             continue;
         };
         let sent = tokio::select! {
+            biased;
             sent = sender.send(Ok(data)) => sent,
             () = &mut time_over => return StreamEnd::TimeOver,
+            () = &mut cut => return StreamEnd::Stopped,
         };
         if sent.is_err() {
             return StreamEnd::CallerLeft;
