Signals are handled before the process listens; a thread that ends by a panic ends the process

Cause of the first: handlers were set by a task of the control thread, after the ports were open, so a signal that came before ended the process with what it had accepted. The second is suspected only, no panic was seen: the process waited for both threads in turn, so one without its control thread went on with what it knew and heard no signal, and one without its traffic thread accepted connections that nobody served. No test: nothing from outside makes a thread panic.

--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod reading;
 mod relay;
+mod signals;
 mod state;
 mod stop;
 
@@ -14,6 +15,7 @@
 use crate::event_log::EventLog;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
+pub use signals::Signals;
 use state::ControlState;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -34,6 +36,8 @@
     pub metrics: Option<TcpListener>,
     /// For probes of other nodes.
     pub members: UdpSocket,
+    /// From operators.
+    pub signals: Signals,
 }
 
 /// Runs the control thread until the process ends.
@@ -62,6 +66,7 @@
     let edge = Rc::new(edge);
     spawn_local(directory::serve(Rc::clone(&state), Rc::clone(&edge), ports.ready));
     spawn_local(directory::serve(Rc::clone(&state), edge, ports.directory));
-    spawn_local(stop::reload(Rc::clone(&state), file));
-    stop::stop_on_signal(state).await;
+    let signals = ports.signals;
+    spawn_local(stop::reload(Rc::clone(&state), file, signals.hangup));
+    stop::stop_on_signal(state, signals.terminate, signals.interrupt).await;
 }
--- a/crates/barleyspool_gateway/src/control/stop.rs
+++ b/crates/barleyspool_gateway/src/control/stop.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 /// How often the settings file is looked at; one call to the operating system each time.
 const SETTINGS_LOOK: Duration = Duration::from_secs(3);
@@ -21,14 +21,9 @@
 }
 
 /// Waits for SIGTERM or SIGINT, then stops in order, phase by phase ([`StopPhase`]), and ends the process.
-pub async fn stop_on_signal(state: Rc<ControlState>) {
-    let (Ok(mut term), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
+pub async fn stop_on_signal(state: Rc<ControlState>, mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
-        _ = term.recv() => {}
+        _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     let mut stop = begin(&state);
@@ -74,10 +69,7 @@
 
 /// Reads the settings again on SIGHUP, and when their file has changed without one. Seeds come into force; whatever
 /// else changed waits for a restart. A bad file is refused whole.
-pub async fn reload(state: Rc<ControlState>, file: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        return;
-    };
+pub async fn reload(state: Rc<ControlState>, file: PathBuf, mut hangup: Signal) {
     let mut read_at = written_at(&file);
     loop {
         tokio::select! {
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Starting a gateway's threads, and ending them together.
 
+use crate::control::Signals;
 use crate::edges::{Edges, Source};
 use crate::event_log::{EventLog, Line};
 use crate::settings::GatewaySettings;
@@ -13,9 +14,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
-use std::thread::JoinHandle;
+use std::sync::{Arc, mpsc};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
@@ -33,6 +33,10 @@
     },
     /// cannot start a thread: {0}
     Thread(io::Error),
+    /// cannot handle signals: {0}
+    Signals(io::Error),
+    /// the {0} thread ended
+    Ended(&'static str),
     /// {0}
     Chart(ChartError),
     /// cannot start the log: {0}
@@ -46,7 +50,8 @@
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    threads: Vec<JoinHandle<()>>,
+    /// The names of threads that ended.
+    ended: mpsc::Receiver<&'static str>,
 }
 
 impl Gateway {
@@ -88,12 +93,14 @@
         let metrics = crate::metrics::Metrics::new(&shared).map_err(GatewayError::Metrics)?;
 
         let control_runtime = runtime()?;
+        let signals = Signals::new(&control_runtime).map_err(GatewayError::Signals)?;
         let ports = control::ControlPorts {
             ready: bind(&control_runtime, settings.ready)?,
             directory: bind(&control_runtime, settings.directory)?,
             relay: bind(&control_runtime, settings.relay)?,
             metrics: bind(&control_runtime, settings.metrics).ok(),
             members: bind_udp(&control_runtime, settings.members)?,
+            signals,
         };
         let traffic_runtime = runtime()?;
         let callers = bind(&traffic_runtime, settings.callers)?;
@@ -102,13 +109,14 @@
 
         let (of_traffic, edges_of_traffic, logger_of_traffic) =
             (Arc::clone(&shared), edges.clone(), Arc::clone(&logger));
-        let traffic = spawn("traffic", move || {
+        let (ends, ended) = mpsc::channel();
+        spawn("traffic", &ends, move || {
             let log = log_of(&of_traffic, logger_of_traffic);
             let work = traffic::run(of_traffic, edges_of_traffic, forwarder, log, callers, pieces);
             LocalSet::new().block_on(&traffic_runtime, work);
         })?;
         let of_control = Arc::clone(&shared);
-        let control = spawn("control", move || {
+        spawn("control", &ends, move || {
             let log = log_of(&of_control, logger);
             let started = Line::Started {
                 version: env!("CARGO_PKG_VERSION"),
@@ -119,17 +127,15 @@
             let work = control::run(of_control, edges.directory, source, file, log, ports, metrics);
             LocalSet::new().block_on(&control_runtime, work);
         })?;
-        Ok(Self {
-            threads: vec![traffic, control],
-        })
+        Ok(Self { ended })
     }
 
-    /// Waits until the gateway has ended.
-    pub fn wait(self) {
-        for thread in self.threads {
-            // A thread that panicked has said so on standard error; the other still ends in order.
-            let _ = thread.join();
-        }
+    /// Waits until a thread ends, which only a panic brings about: a planned stop ends the process itself.
+    ///
+    /// The process must end then too, and be started again. One without its traffic thread accepts connections that nobody
+    /// serves; one without its control thread acts on what it knew, for ever, and hears no signal.
+    pub fn wait(self) -> GatewayError {
+        GatewayError::Ended(self.ended.recv().unwrap_or("every"))
     }
 }
 
@@ -169,9 +175,32 @@
     bound.map_err(|cause| GatewayError::Listen { address, cause })
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, GatewayError> {
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(body)
-        .map_err(GatewayError::Thread)
+fn spawn(
+    name: &'static str,
+    ends: &mpsc::Sender<&'static str>,
+    body: impl FnOnce() + Send + 'static,
+) -> Result<(), GatewayError> {
+    let end = ThreadEnd {
+        name,
+        ends: ends.clone(),
+    };
+    let thread = std::thread::Builder::new().name(name.to_owned());
+    let spawned = thread.spawn(move || {
+        let _end = end;
+        body();
+    });
+    spawned.map(drop).map_err(GatewayError::Thread)
+}
+
+/// Tells that a thread ended, also when it panicked.
+struct ThreadEnd {
+    name: &'static str,
+    ends: mpsc::Sender<&'static str>,
+}
+
+impl Drop for ThreadEnd {
+    fn drop(&mut self) {
+        // Nobody listens any more when the process is ending already.
+        let _ = self.ends.send(self.name);
+    }
 }
