A relayed stream looks complete only after its task has said that it was

Cause, found by reading: the end of the channel between relay and caller was taken for the end of the stream, so a task that was dropped or panicked in the middle would have left an answer that looked complete. Mend: the task says End, or the answer is broken off. The test is red with that taken out.

--- a/crates/barleyspool_gateway/src/lib.rs
+++ b/crates/barleyspool_gateway/src/lib.rs
@@ -27,3 +27,4 @@
 pub use gateway::{Gateway, GatewayError};
 pub use settings::{GatewaySettings, LogSettings, RetrySettings};
 pub use shared::Shared;
+pub use traffic::{RelayItem, RelayedStream};
--- a/crates/barleyspool_gateway/src/traffic/answer_body.rs
+++ b/crates/barleyspool_gateway/src/traffic/answer_body.rs
@@ -1,23 +1,11 @@
 //! The body of an answer to a caller.
 
 use super::call_guard::CallGuard;
+use super::relayed_stream::{RelayBroken, RelayedStream};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use tokio::sync::mpsc;
-
-/// A stream broke off; the connection is closed so that the answer does not look complete.
-#[derive(Debug, displaydoc::Display)]
-pub enum RelayBroken {
-    /// the target's stream broke off
-    BrokenOff,
-}
-
-impl std::error::Error for RelayBroken {}
-
-/// What comes through a relayed stream.
-pub type RelayItem = Result<Bytes, RelayBroken>;
 
 /// The body of an answer: whole, or as it comes.
 pub enum AnswerBody {
@@ -27,7 +15,7 @@
         #[allow(dead_code, reason = "kept for its drop")] Option<CallGuard>,
     ),
     /// As it comes.
-    Stream(mpsc::Receiver<RelayItem>),
+    Stream(RelayedStream),
 }
 
 impl Body for AnswerBody {
@@ -40,9 +28,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, RelayBroken>>> {
         match &mut *self {
             Self::Whole(bytes, _) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(items) => items
-                .poll_recv(context)
-                .map(|item| item.map(|item| item.map(Frame::data))),
+            Self::Stream(stream) => Pin::new(stream).poll_frame(context),
         }
     }
 
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -13,12 +13,15 @@
 mod placement;
 mod pool;
 mod pools;
+mod relayed_stream;
 mod results;
 mod send_request;
 mod stages;
 mod stopping;
 mod stream_relay;
 
+pub use relayed_stream::{RelayItem, RelayedStream};
+
 use crate::edges::Edges;
 use crate::event_log::EventLog;
 use crate::shared::Shared;
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -1,11 +1,12 @@
 //! Passing a stream of events on as it comes, and taking it up again at another target where that is allowed.
 
-use super::answer_body::{AnswerBody, RelayBroken, RelayItem};
+use super::answer_body::AnswerBody;
 use super::call::Call;
 use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::connections::Connection;
 use super::final_send::{self, SendGuard, Sent};
+use super::relayed_stream::{RelayItem, RelayedStream};
 use super::results::Results;
 use super::stages;
 use super::stopping;
@@ -67,7 +68,7 @@
     *head.status_mut() = relay.parts.status;
     *head.headers_mut() = relay.parts.headers.clone();
     spawn_local(run(relay, sender));
-    head.map(|()| AnswerBody::Stream(items))
+    head.map(|()| AnswerBody::Stream(RelayedStream::new(items)))
 }
 
 /// What has been passed on of a stream.
@@ -88,35 +89,35 @@
     };
     loop {
         match pass_on(&mut relay, &mut passed, &sender).await {
-            StreamEnd::Whole => return whole(relay),
+            StreamEnd::Whole => return whole(relay, &sender).await,
             StreamEnd::CallerLeft => return,
-            StreamEnd::Stopped => return broken(&relay, &sender, Reason::Leaving).await,
-            StreamEnd::TimeOver => return broken(&relay, &sender, Reason::RouteTimeout).await,
+            StreamEnd::Stopped => return broken(&relay, Reason::Leaving),
+            StreamEnd::TimeOver => return broken(&relay, Reason::RouteTimeout),
             StreamEnd::Broken => {
                 relay.send.end(SendEnd::BrokenOff);
                 if !resume(&mut relay, &mut passed).await {
-                    return broken(&relay, &sender, Reason::StepFailed).await;
+                    return broken(&relay, Reason::StepFailed);
                 }
             }
         }
     }
 }
 
-fn whole(mut relay: Relay) {
+async fn whole(mut relay: Relay, sender: &mpsc::Sender<RelayItem>) {
     relay.send.end(SendEnd::Answered { success: true });
     relay.guard.answered(relay.parts.status);
     if let Some(connection) = relay.connection.take() {
         let keep = relay.keep.map(duration);
         relay.call.traffic.connections.put_back(connection, keep);
     }
+    // When the caller has left meanwhile, nobody needs to be told.
+    let _ = sender.send(RelayItem::End).await;
 }
 
-/// Cuts the caller's connection, so that the answer does not look complete.
-async fn broken(relay: &Relay, sender: &mpsc::Sender<RelayItem>, reason: Reason) {
+/// A stream that cannot go on. Its caller's connection is cut, since no [`RelayItem::End`] follows.
+fn broken(relay: &Relay, reason: Reason) {
     let failure = CallFailure::unknown(reason).at(&relay.call.service, &relay.send.chosen.id);
     relay.guard.failed(0, &failure);
-    // When the caller has left meanwhile, nobody needs to be told.
-    let _ = sender.send(Err(RelayBroken::BrokenOff)).await;
 }
 
 /// Passes one target's stream on until it ends.
@@ -151,7 +152,7 @@
         };
         let sent = tokio::select! {
             biased;
-            sent = sender.send(Ok(data)) => sent,
+            sent = sender.send(RelayItem::Part(data)) => sent,
             () = &mut time_over => return StreamEnd::TimeOver,
             () = &mut cut => return StreamEnd::Stopped,
         };
--- /dev/null
+++ b/crates/barleyspool_gateway/tests/relayed_stream.rs
@@ -0,0 +1,38 @@
+//! A relayed stream looks complete only when its target's stream was.
+//!
+//! The end of the channel was taken for the end of the stream: a task that was dropped or panicked in the middle would
+//! have left an answer that looked complete. It was found by reading and never seen.
+
+#![allow(clippy::unwrap_used, reason = "a test stops where it fails")]
+
+use barleyspool_gateway::{RelayItem, RelayedStream};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+
+async fn relayed(items: Vec<RelayItem>) -> Result<Bytes, String> {
+    let (sender, received) = mpsc::channel(items.len().max(1));
+    for item in items {
+        sender.send(item).await.unwrap();
+    }
+    drop(sender);
+    let body = RelayedStream::new(received).collect().await;
+    body.map(|body| body.to_bytes())
+        .map_err(|error| error.to_string())
+}
+
+fn part(text: &'static str) -> RelayItem {
+    RelayItem::Part(Bytes::from_static(text.as_bytes()))
+}
+
+#[tokio::test]
+async fn a_stream_with_its_end_is_whole() {
+    let body = relayed(vec![part("a"), part("b"), RelayItem::End]).await;
+    assert_eq!(body.unwrap(), "ab");
+}
+
+#[tokio::test]
+async fn a_stream_whose_task_is_gone_is_broken_off() {
+    let body = relayed(vec![part("a"), part("b")]).await;
+    assert_eq!(body.unwrap_err(), "the target's stream broke off");
+}
