--- a/crates/barleyspool_gateway/tests/relayed_stream.rs
+++ b/crates/barleyspool_gateway/tests/relayed_stream.rs
@@ -7,7 +7,7 @@
 
 use barleyspool_gateway::{RelayItem, RelayedStream};
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Collected};
 use tokio::sync::mpsc;
 
 async fn relayed(items: Vec<RelayItem>) -> Result<Bytes, String> {
@@ -17,8 +17,7 @@
     }
     drop(sender);
     let body = RelayedStream::new(received).collect().await;
-    body.map(|body| body.to_bytes())
-        .map_err(|error| error.to_string())
+    body.map(Collected::to_bytes).map_err(|error| error.to_string())
 }
 
 fn part(text: &'static str) -> RelayItem {
