Threads and tasks that nothing can do without end the process when they panic; signals and threads in one copy

The entry daemon waited for its threads one after the other and set its signal handlers after its ports were open, as the gateway did; the keeper set its after its port too; and the runtime kept a panic of an accepting, reading or membership task from everybody, so a node would have gone on without it. Callers of the entry daemon may read slowly too. Suspected only: no panic was seen.

--- a/crates/barleyspool_entry/src/daemon.rs
+++ b/crates/barleyspool_entry/src/daemon.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use barleyspool_core::chart::ChartError;
 use barleyspool_core::{Control, ControlEvent, Incarnation, Router};
+use barleyspool_wire::process::{Signals, ThreadError, Threads};
 use barleyspool_wire::rpc::gateway_server::GatewayServer;
 use barleyspool_wire::rpc::operations_server::OperationsServer;
 use barleyspool_wire::{Clock, net};
@@ -18,10 +19,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
-use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tonic::transport::Server;
 
@@ -44,6 +43,8 @@
     },
     /// cannot start a thread: {0}
     Thread(io::Error),
+    /// cannot handle signals: {0}
+    Signals(io::Error),
     /// {0}
     Chart(ChartError),
     /// metrics: {0}
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     shared: Arc<Shared>,
-    threads: Vec<JoinHandle<()>>,
+    threads: Threads,
 }
 
 impl Daemon {
@@ -80,14 +81,16 @@
             ending: watch::Sender::new(false),
             settings,
         });
+        let control_runtime = runtime()?;
+        let signals = Signals::new(&control_runtime).map_err(DaemonError::Signals)?;
         let (notices, noticed) = mpsc::unbounded_channel();
-        let mut threads = Vec::new();
+        let mut threads = Threads::default();
         for (index, inbox) in inboxes.into_iter().enumerate() {
             let router = Router::new(shared.settings.router_settings(run, index as u32))
                 .map_err(DaemonError::Chart)?;
-            threads.push(start_lane(&shared, index, router, inbox, notices.clone())?);
+            start_lane(&mut threads, &shared, index, router, inbox, notices.clone())?;
         }
-        threads.push(start_control(&shared, run, noticed)?);
+        start_control(&mut threads, control_runtime, signals, &shared, run, noticed)?;
         Ok(Self { shared, threads })
     }
 
@@ -97,11 +100,11 @@
     }
 
     /// Waits until the daemon has ended.
-    pub fn wait(self) {
-        for thread in self.threads {
-            // A thread that panicked has said so on standard error; the others still end in order.
-            let _ = thread.join();
-        }
+    ///
+    /// # Errors
+    /// The first thread that panicked; the process must end then.
+    pub fn wait(self) -> Result<(), ThreadError> {
+        self.threads.wait()
     }
 }
 
@@ -117,27 +120,21 @@
     net::listen(address).map_err(|cause| DaemonError::Listen { address, cause })
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, DaemonError> {
-    std::thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(body)
-        .map_err(DaemonError::Thread)
-}
-
 // ----------------------------------------------------------------------------
 // Traffic
 
 fn start_lane(
+    threads: &mut Threads,
     shared: &Arc<Shared>,
     index: usize,
     router: Router,
     inbox: LaneReceiver,
     notices: mpsc::UnboundedSender<LaneNotice>,
-) -> Result<JoinHandle<()>, DaemonError> {
+) -> Result<(), DaemonError> {
     let runtime = runtime()?;
     let listener = bind(&runtime, shared.settings.callers)?;
     let shared = Arc::clone(shared);
-    spawn(&format!("lane-{index}"), move || {
+    let lane = move || {
         runtime.block_on(async {
             let (lane, events) = Lane::new(Arc::clone(&shared), index, router, notices);
             let callers = serve_callers(listener, Arc::clone(&shared));
@@ -146,7 +143,9 @@
             // The outcomes are in the streams; let the connections deliver them.
             let _ = tokio::time::timeout(LAST_BYTES, callers).await;
         });
-    })
+    };
+    let name = format!("lane-{index}");
+    threads.spawn(&name, lane).map_err(DaemonError::Thread)
 }
 
 async fn serve_callers(listener: tokio::net::TcpListener, shared: Arc<Shared>) {
@@ -157,7 +156,7 @@
         .http2_keepalive_interval(Some(KEEPALIVE))
         .http2_keepalive_timeout(Some(KEEPALIVE))
         .add_service(service)
-        .serve_with_incoming_shutdown(net::incoming(listener), async move {
+        .serve_with_incoming_shutdown(net::incoming_callers(listener), async move {
             let _ = ending.wait_for(|ending| *ending).await;
         });
     if let Err(error) = server.await {
@@ -170,11 +169,13 @@
 // Control
 
 fn start_control(
+    threads: &mut Threads,
+    runtime: Runtime,
+    signals: Signals,
     shared: &Arc<Shared>,
     run: Incarnation,
     notices: mpsc::UnboundedReceiver<LaneNotice>,
-) -> Result<JoinHandle<()>, DaemonError> {
-    let runtime = runtime()?;
+) -> Result<(), DaemonError> {
     let settings = &shared.settings;
     let peers = bind(&runtime, settings.control)?;
     let bulk = bind(&runtime, settings.bulk)?;
@@ -183,7 +184,7 @@
     let control =
         Control::new(settings.control_settings(run), shared.clock.now()).map_err(DaemonError::Chart)?;
     let shared = Arc::clone(shared);
-    spawn("control", move || {
+    let control = move || {
         runtime.block_on(async {
             let (sender, inbox) = mpsc::unbounded_channel();
             let thread = ControlThread::new(Arc::clone(&shared), control, sender.clone());
@@ -195,24 +196,17 @@
                     .add_service(OperationsServer::new(operations))
                     .serve_with_incoming(net::incoming(operators)),
             );
-            tokio::spawn(stop_on_signal(sender));
+            tokio::spawn(stop_on_signal(signals, sender));
             thread.run(inbox, notices).await;
         });
-    })
+    };
+    threads.spawn("control", control).map_err(DaemonError::Thread)
 }
 
 /// A planned stop on SIGTERM or SIGINT. A second signal changes nothing: what is in flight is still finished.
-async fn stop_on_signal(control: ControlSender) {
-    let (Ok(mut term), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return spdlog::warn!("signals cannot be received; stop the node by RPC");
-    };
+async fn stop_on_signal(mut signals: Signals, control: ControlSender) {
     loop {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        Signals::stop(&mut signals.terminate, &mut signals.interrupt).await;
         spdlog::info!("stop was asked for by a signal");
         let _ = control.send(ControlMessage::Event(ControlEvent::Stop));
     }
--- a/crates/barleyspool_entry/src/main.rs
+++ b/crates/barleyspool_entry/src/main.rs
@@ -9,6 +9,8 @@
 const EXIT_SETTINGS: u8 = 2;
 /// The daemon could not start.
 const EXIT_START: u8 = 3;
+/// A thread panicked.
+const EXIT_THREAD: u8 = 4;
 
 mod flags {
     use std::path::PathBuf;
@@ -56,10 +58,14 @@
     }
     logging::start(&format!("entry-{}", settings.node), &settings.log_level);
     match Daemon::start(settings) {
-        Ok(daemon) => {
-            daemon.wait();
-            ExitCode::SUCCESS
-        }
+        Ok(daemon) => match daemon.wait() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                let cause = error.to_string();
+                spdlog::error!("ended", kv: { cause = cause.as_str() });
+                ExitCode::from(EXIT_THREAD)
+            }
+        },
         Err(error) => {
             let cause = error.to_string();
             spdlog::error!("cannot start", kv: { cause = cause.as_str() });
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -7,7 +7,6 @@
 mod members;
 mod reading;
 mod relay;
-mod signals;
 mod state;
 mod stop;
 
@@ -15,13 +14,12 @@
 use crate::event_log::EventLog;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
-pub use signals::Signals;
+use barleyspool_wire::process::{EssentialTasks, Signals};
 use state::ControlState;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::task::spawn_local;
 
 /// What the control thread listens on.
 #[derive(Debug)]
@@ -51,22 +49,26 @@
     metrics: Metrics,
 ) {
     let state = Rc::new(ControlState::new(shared, log));
-    spawn_local(members::run(Rc::clone(&state), ports.members));
+    let mut tasks = EssentialTasks::default();
+    tasks.spawn_local(members::run(Rc::clone(&state), ports.members));
     for feed in [Feed::Configuration, Feed::Targets] {
-        spawn_local(feed_reader::run(Rc::clone(&state), Rc::clone(&source), feed));
+        tasks.spawn_local(feed_reader::run(Rc::clone(&state), Rc::clone(&source), feed));
     }
-    spawn_local(follow::run(Rc::clone(&state)));
+    tasks.spawn_local(follow::run(Rc::clone(&state)));
     let publisher = Rc::clone(&state);
-    spawn_local(async move { publisher.publish_members().await });
+    tasks.spawn_local(async move { publisher.publish_members().await });
     let metrics = Rc::new(metrics);
-    spawn_local(relay::serve(Rc::clone(&state), ports.relay, Rc::clone(&metrics)));
+    tasks.spawn_local(relay::serve(Rc::clone(&state), ports.relay, Rc::clone(&metrics)));
     if let Some(listener) = ports.metrics {
-        spawn_local(relay::serve(Rc::clone(&state), listener, metrics));
+        tasks.spawn_local(relay::serve(Rc::clone(&state), listener, metrics));
     }
     let edge = Rc::new(edge);
-    spawn_local(directory::serve(Rc::clone(&state), Rc::clone(&edge), ports.ready));
-    spawn_local(directory::serve(Rc::clone(&state), edge, ports.directory));
+    tasks.spawn_local(directory::serve(Rc::clone(&state), Rc::clone(&edge), ports.ready));
+    tasks.spawn_local(directory::serve(Rc::clone(&state), edge, ports.directory));
     let signals = ports.signals;
-    spawn_local(stop::reload(Rc::clone(&state), file, signals.hangup));
-    stop::stop_on_signal(state, signals.terminate, signals.interrupt).await;
+    tasks.spawn_local(stop::reload(Rc::clone(&state), file, signals.hangup));
+    tokio::select! {
+        () = stop::stop_on_signal(state, signals.terminate, signals.interrupt) => {}
+        () = tasks.watch() => {}
+    }
 }
--- a/crates/barleyspool_gateway/src/control/stop.rs
+++ b/crates/barleyspool_gateway/src/control/stop.rs
@@ -4,6 +4,7 @@
 use crate::event_log::Line;
 use crate::settings::GatewaySettings;
 use barleyspool_core::{MemberEvent, PlannedStop, Span, StopPhase};
+use barleyspool_wire::process::Signals;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -22,10 +23,7 @@
 
 /// Waits for SIGTERM or SIGINT, then stops in order, phase by phase ([`StopPhase`]), and ends the process.
 pub async fn stop_on_signal(state: Rc<ControlState>, mut terminate: Signal, mut interrupt: Signal) {
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    Signals::stop(&mut terminate, &mut interrupt).await;
     let mut stop = begin(&state);
     let shared = &state.shared;
     loop {
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -1,6 +1,5 @@
 //! Starting a gateway's threads, and ending them together.
 
-use crate::control::Signals;
 use crate::edges::{Edges, Source};
 use crate::event_log::{EventLog, Line};
 use crate::settings::GatewaySettings;
@@ -9,13 +8,14 @@
 use arc_swap::ArcSwap;
 use barleyspool_core::chart::ChartError;
 use barleyspool_core::{ForwardSettings, Forwarder};
+use barleyspool_wire::process::{Signals, ThreadError, Threads};
 use barleyspool_wire::{Clock, net};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
-use std::sync::{Arc, mpsc};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
@@ -35,8 +35,6 @@
     Thread(io::Error),
     /// cannot handle signals: {0}
     Signals(io::Error),
-    /// the {0} thread ended
-    Ended(&'static str),
     /// {0}
     Chart(ChartError),
     /// cannot start the log: {0}
@@ -50,8 +48,7 @@
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    /// The names of threads that ended.
-    ended: mpsc::Receiver<&'static str>,
+    threads: Threads,
 }
 
 impl Gateway {
@@ -109,14 +106,15 @@
 
         let (of_traffic, edges_of_traffic, logger_of_traffic) =
             (Arc::clone(&shared), edges.clone(), Arc::clone(&logger));
-        let (ends, ended) = mpsc::channel();
-        spawn("traffic", &ends, move || {
+        let mut threads = Threads::default();
+        let traffic = move || {
             let log = log_of(&of_traffic, logger_of_traffic);
             let work = traffic::run(of_traffic, edges_of_traffic, forwarder, log, callers, pieces);
             LocalSet::new().block_on(&traffic_runtime, work);
-        })?;
+        };
+        threads.spawn("traffic", traffic).map_err(GatewayError::Thread)?;
         let of_control = Arc::clone(&shared);
-        spawn("control", &ends, move || {
+        let control = move || {
             let log = log_of(&of_control, logger);
             let started = Line::Started {
                 version: env!("CARGO_PKG_VERSION"),
@@ -126,16 +124,17 @@
             let source: Rc<dyn Source> = Rc::new(source(&of_control.settings));
             let work = control::run(of_control, edges.directory, source, file, log, ports, metrics);
             LocalSet::new().block_on(&control_runtime, work);
-        })?;
-        Ok(Self { ended })
+        };
+        threads.spawn("control", control).map_err(GatewayError::Thread)?;
+        Ok(Self { threads })
     }
 
-    /// Waits until a thread ends, which only a panic brings about: a planned stop ends the process itself.
+    /// Waits until the gateway has ended. A planned stop ends the process itself.
     ///
-    /// The process must end then too, and be started again. One without its traffic thread accepts connections that nobody
-    /// serves; one without its control thread acts on what it knew, for ever, and hears no signal.
-    pub fn wait(self) -> GatewayError {
-        GatewayError::Ended(self.ended.recv().unwrap_or("every"))
+    /// # Errors
+    /// The first thread that panicked; the process must end then.
+    pub fn wait(self) -> Result<(), ThreadError> {
+        self.threads.wait()
     }
 }
 
@@ -174,33 +173,3 @@
     });
     bound.map_err(|cause| GatewayError::Listen { address, cause })
 }
-
-fn spawn(
-    name: &'static str,
-    ends: &mpsc::Sender<&'static str>,
-    body: impl FnOnce() + Send + 'static,
-) -> Result<(), GatewayError> {
-    let end = ThreadEnd {
-        name,
-        ends: ends.clone(),
-    };
-    let thread = std::thread::Builder::new().name(name.to_owned());
-    let spawned = thread.spawn(move || {
-        let _end = end;
-        body();
-    });
-    spawned.map(drop).map_err(GatewayError::Thread)
-}
-
-/// Tells that a thread ended, also when it panicked.
-struct ThreadEnd {
-    name: &'static str,
-    ends: mpsc::Sender<&'static str>,
-}
-
-impl Drop for ThreadEnd {
-    fn drop(&mut self) {
-        // Nobody listens any more when the process is ending already.
-        let _ = self.ends.send(self.name);
-    }
-}
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 use crate::event_log::EventLog;
 use crate::shared::Shared;
 use barleyspool_core::{Counter, Counters, ForwardPlan, Forwarder, StagePace, Time};
+use barleyspool_wire::process::EssentialTasks;
 use connections::Connections;
 use peers::{Owner, Peers};
 use placement::Placements;
@@ -37,7 +38,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
 /// How often counters are shown.
 const SHOW_EVERY: Duration = Duration::from_millis(500);
@@ -129,14 +129,16 @@
         pace: RefCell::default(),
     });
     traffic.take_plan();
-    spawn_local(callers::serve(Rc::clone(&traffic), callers));
-    spawn_local(peers::serve(Rc::clone(&traffic), pieces));
+    let mut tasks = EssentialTasks::default();
+    tasks.spawn_local(callers::serve(Rc::clone(&traffic), callers));
+    tasks.spawn_local(peers::serve(Rc::clone(&traffic), pieces));
     traffic.shared.listening.store(true, Ordering::Relaxed);
     let mut plans = traffic.shared.plan_changed.subscribe();
     let mut show = tokio::time::interval(SHOW_EVERY);
     loop {
         tokio::select! {
             Ok(()) = plans.changed() => traffic.take_plan(),
+            () = tasks.watch() => {}
             _ = show.tick() => {
                 traffic.connections.expire();
                 let counters = traffic.counters.borrow().clone();
--- a/crates/barleyspool_keeper/src/main.rs
+++ b/crates/barleyspool_keeper/src/main.rs
@@ -4,12 +4,12 @@
 //! what the engines report.
 
 use barleyspool_keeper::{Keeper, KeeperOperations, KeeperSettings};
+use barleyspool_wire::process::Signals;
 use barleyspool_wire::rpc::operations_server::OperationsServer;
 use barleyspool_wire::{logging, net};
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 use tonic::transport::Server;
 
@@ -71,6 +71,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let mut signals = Signals::new(&runtime)?;
     runtime.block_on(async {
         let listener = net::listen(settings.operators)?;
         let keeper = Arc::new(Mutex::new(Keeper::new(settings)));
@@ -80,12 +81,9 @@
                 .add_service(OperationsServer::new(operations))
                 .serve_with_incoming(net::incoming(listener)),
         );
-        let mut term = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
         tokio::select! {
             () = run(&keeper) => {}
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
+            () = Signals::stop(&mut signals.terminate, &mut signals.interrupt) => {}
         }
         Ok(())
     })
--- a/crates/barleyspool_wire/src/lib.rs
+++ b/crates/barleyspool_wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`pieces`]: orders for pieces of stages between entry nodes, by `tarpc`.
 //! - [`target`] and [`platform`]: the JSON of targets and of the platform's services.
 //! - [`net`]: the one place where connections are made and accepted.
+//! - [`process`]: signals and threads of a daemon.
 //! - [`settings`]: reading and checking settings files.
 
 mod clock;
@@ -14,6 +15,7 @@
 pub mod peer;
 pub mod pieces;
 pub mod platform;
+pub mod process;
 pub mod rpc_convert;
 pub mod settings;
 pub mod target;
--- a/crates/barleyspool_wire/src/net.rs
+++ b/crates/barleyspool_wire/src/net.rs
@@ -103,14 +103,26 @@
     prepared.collect()
 }
 
-/// The connections of a listener as a stream, for servers that want one. A failed accept is skipped.
+/// The connections of other processes of the deployment as a stream, for servers that want one. A failed accept is skipped.
 pub fn incoming(listener: TcpListener) -> impl futures::Stream<Item = io::Result<TcpStream>> {
-    futures::stream::unfold(listener, |listener| async {
+    accepted(listener, async |listener| accept(listener).await)
+}
+
+/// The connections of callers as a stream; see [`accept_caller`].
+pub fn incoming_callers(listener: TcpListener) -> impl futures::Stream<Item = io::Result<TcpStream>> {
+    accepted(listener, async |listener| accept_caller(listener).await)
+}
+
+fn accepted(
+    listener: TcpListener,
+    accept: impl AsyncFn(&TcpListener) -> io::Result<TcpStream>,
+) -> impl futures::Stream<Item = io::Result<TcpStream>> {
+    futures::stream::unfold((listener, accept), |(listener, accept)| async {
         let accepted = accept(&listener).await;
         if accepted.is_err() {
             // Out of descriptors, most likely: give others the time to close some.
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        Some((accepted, listener))
+        Some((accepted, (listener, accept)))
     })
 }
