What has arrived goes before a time-out, also after a pause of the process

Cause: a process that is paused and goes on finds its timers run out before it has looked at its sockets, since the operating system interrupts the wait for events without telling any. So connections were closed as too long at rest, or for a slow head, with whole calls on them, and calls in flight were told that their time was over with the answer in the kernel. Ruled out: the HTTP library's own order alone (with our own times after the read it was the same). Mend: the times of a connection are kept by ConnectionWatch, which head watch and delivery are part of now, and timer::sleep lets the sockets be read once before a time-out counts; the branch with the work goes first. a_call_that_came_during_a_long_pause_of_the_process_is_answered is green.

--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -14,6 +14,7 @@
 use barleyspool_core::{
     CallHead, Catalog, Counter, Need, Reason, Route, SendHistory, Span, StageRun, TargetKey, Time, rendezvous,
 };
+use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -256,7 +257,7 @@
         // An answer that is ready is delivered, however late it is.
         biased;
         answered = work => answered,
-        () = tokio::time::sleep(left) => Err(time_over(&call)),
+        () = timer::sleep(left) => Err(time_over(&call)),
         () = stopping::cut(&traffic) => Err(cut_off(&call)),
     };
     match answered {
--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -1,17 +1,16 @@
 //! A caller's connection, between the socket and the HTTP library.
 //!
-//! The library does not tell whether what it was given has left the process. This layer sees the socket: when the first
-//! bytes of a head come ([`HeadWatch`]), and whether the kernel takes what is written ([`Delivery`]). It closes in two
+//! The library does not tell whether what it was given has left the process. This layer sees the socket, and tells
+//! [`ConnectionWatch`]. It closes in two
 //! steps: first for writing, then, when the caller has closed too or after [`LINGER`], altogether. A socket that is closed
 //! with unread bytes is reset, and a reset takes along what the kernel has not sent yet.
 
 use super::answer_body::AnswerBody;
 use super::call::LONGEST;
-use super::head_watch::{CallMark, HeadWatch};
+use super::connection_watch::{CallMark, ConnectionWatch};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -19,9 +18,9 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep, sleep_until};
+use tokio::time::{Sleep, sleep, sleep_until};
 
-/// How long after the last written byte a connection is read on before it is closed altogether. A caller that takes a megabyte
+/// How long after its last bytes a connection is read on before it is closed altogether. A caller that takes a megabyte
 /// a second gets all that the kernel may hold of an answer when its next call comes meanwhile; longer holds up a planned stop.
 const LINGER: Duration = Duration::from_secs(1);
 /// How long a caller may take nothing of what is written before its connection ends. No call is held longer than this
@@ -30,22 +29,10 @@
 /// Bytes read at once from a connection on which nothing is answered any more.
 const DISCARDED: usize = 4096;
 
-/// Whether a connection's answers leave the process.
-#[derive(Default)]
-pub struct Delivery {
-    /// Whether the kernel did not take all of the last write: the caller reads more slowly than it is answered.
-    pub waiting: Cell<bool>,
-    /// When the kernel last took bytes.
-    written: Cell<Option<Instant>>,
-    /// The id of the call that was answered last.
-    pub last_call: RefCell<String>,
-}
-
 /// A caller's connection.
 pub struct CallerIo {
     io: TokioIo<TcpStream>,
-    heads: Rc<HeadWatch>,
-    delivery: Rc<Delivery>,
+    watch: Rc<ConnectionWatch>,
     /// The end of lingering; `None` while answers may be written.
     linger: Option<Pin<Box<Sleep>>>,
     /// When the caller has taken nothing for too long; `None` while it takes what is written.
@@ -54,11 +41,10 @@
 
 impl CallerIo {
     /// A connection that was just accepted.
-    pub fn new(stream: TcpStream, heads: &Rc<HeadWatch>, delivery: &Rc<Delivery>) -> Self {
+    pub fn new(stream: TcpStream, watch: &Rc<ConnectionWatch>) -> Self {
         Self {
             io: TokioIo::new(stream),
-            heads: Rc::clone(heads),
-            delivery: Rc::clone(delivery),
+            watch: Rc::clone(watch),
             linger: None,
             stalled: None,
         }
@@ -66,9 +52,8 @@
 
     /// Notes what became of a write; one that has waited for [`STALLED`] fails.
     fn noted<T>(&mut self, written: Poll<io::Result<T>>, context: &mut Context<'_>) -> Poll<io::Result<T>> {
-        self.delivery.waiting.set(written.is_pending());
+        self.watch.wrote(written.is_pending());
         if written.is_ready() {
-            self.delivery.written.set(Some(Instant::now()));
             self.stalled = None;
             return written;
         }
@@ -100,7 +85,7 @@
     ) -> Poll<io::Result<()>> {
         let read = Pin::new(&mut self.io).poll_read(context, buffer);
         if matches!(read, Poll::Ready(Ok(()))) {
-            self.heads.bytes();
+            self.watch.read();
         }
         read
     }
@@ -123,9 +108,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.io).poll_shutdown(context))?;
-            self.heads.closed();
-            let until = self.delivery.written.get().map(|written| written + LINGER);
-            self.linger = Some(Box::pin(sleep_until(until.unwrap_or_else(Instant::now))));
+            self.linger = Some(Box::pin(sleep_until(self.watch.active() + LINGER)));
         }
         if self.poll_discard(context).is_ready() {
             return Poll::Ready(Ok(()));
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -2,14 +2,13 @@
 
 use super::Traffic;
 use super::call::{self, CallId};
-use super::caller_io::{CallerIo, Delivery, WatchedBody};
-use super::head_watch::HeadWatch;
+use super::caller_io::{CallerIo, WatchedBody};
+use super::connection_watch::{ConnectionWatch, Overdue};
 use crate::event_log::Line;
 use barleyspool_core::{CallerLimits, Counter, Span, StopPhase};
 use barleyspool_wire::net;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
-use hyper_util::rt::TokioTimer;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -20,6 +19,8 @@
 /// The least buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8192;
 
+/// Longer than any connection lasts: one that is being closed for its rest is not closed for that again.
+const NEVER: Duration = Duration::from_secs(24 * 3600);
 /// The header that tells a caller to make a new connection for its next call.
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
@@ -50,41 +51,42 @@
 async fn serve_caller(open: OpenCaller, stream: TcpStream) {
     let traffic = Rc::clone(&open.0);
     let limits = limits(&traffic);
-    let heads = Rc::new(HeadWatch::default());
-    let delivery = Rc::new(Delivery::default());
-    let io = CallerIo::new(stream, &heads, &delivery);
+    let watch = Rc::new(ConnectionWatch::default());
+    let io = CallerIo::new(stream, &watch);
     let service = service_fn(|request| {
-        let (traffic, delivery) = (Rc::clone(&traffic), Rc::clone(&delivery));
-        let mark = heads.call();
+        let (traffic, watch) = (Rc::clone(&traffic), Rc::clone(&watch));
+        let mark = watch.call();
         async move {
             let mut response = call::serve(Rc::clone(&traffic), request).await;
             if traffic.shared.stop_reached(StopPhase::Leaving) {
                 response.headers_mut().insert(CONNECTION, CLOSE);
             }
             if let Some(CallId(id)) = response.extensions_mut().remove() {
-                delivery.last_call.replace(id);
+                watch.answers(id);
             }
             Ok::<_, Infallible>(response.map(|body| WatchedBody { body, mark }))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Callers may take a rested connection up again until the idle time; a head that has begun is watched apart.
-        .header_read_timeout(duration(limits.idle_time))
+        .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     let mut stop = traffic.shared.stop.subscribe();
+    let (head_time, mut rest) = (duration(limits.head_time), duration(limits.idle_time));
     let mut closing = false;
     loop {
         tokio::select! {
             // What has arrived is read before anything is closed for being late.
             biased;
             // A caller that goes away ends its connection; what it waited for has been dropped with it.
-            ended = connection.as_mut() => return tell_undelivered(&traffic, &delivery, &ended),
-            () = heads.overdue(duration(limits.head_time)) => {
-                traffic.count(Counter::SlowHead);
-                return;
+            ended = connection.as_mut() => return tell_undelivered(&traffic, &watch, &ended),
+            overdue = watch.overdue(head_time, rest) => {
+                if overdue == Overdue::Head {
+                    return traffic.count(Counter::SlowHead);
+                }
+                rest = NEVER;
+                connection.as_mut().graceful_shutdown();
             }
             _ = stop.wait_for(|phase| *phase >= StopPhase::Finishing), if !closing => {
                 closing = true;
@@ -95,14 +97,13 @@
 }
 
 /// A connection that ends while the kernel has not taken all of an answer: the caller has not got it.
-fn tell_undelivered(traffic: &Traffic, delivery: &Delivery, ended: &hyper::Result<()>) {
-    let Err(error) = ended else { return };
-    if !delivery.waiting.get() {
+fn tell_undelivered(traffic: &Traffic, watch: &ConnectionWatch, ended: &hyper::Result<()>) {
+    let (Err(error), Some(id)) = (ended, watch.undelivered()) else {
         return;
-    }
+    };
     traffic.count(Counter::Undelivered);
     let line = Line::Undelivered {
-        id: &delivery.last_call.borrow(),
+        id: &id,
         cause: &with_source(error),
     };
     traffic.log.write(traffic.now(), &line);
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -12,6 +12,7 @@
 use super::stopping;
 use crate::failure::CallFailure;
 use barleyspool_core::{NextStep, Reason, SendEnd, Span, StageRun, next_step};
+use barleyspool_wire::timer;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -124,7 +125,7 @@
 async fn pass_on(relay: &mut Relay, passed: &mut Passed, sender: &mpsc::Sender<RelayItem>) -> StreamEnd {
     let resumable = relay.call.route.resumable;
     let left = relay.call.deadline.since(relay.call.traffic.now());
-    let mut time_over = std::pin::pin!(tokio::time::sleep(duration(left)));
+    let mut time_over = std::pin::pin!(timer::sleep(duration(left)));
     let traffic = Rc::clone(&relay.call.traffic);
     let mut cut = std::pin::pin!(stopping::cut(&traffic));
     loop {
--- a/crates/barleyspool_wire/src/lib.rs
+++ b/crates/barleyspool_wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`target`] and [`platform`]: the JSON of targets and of the platform's services.
 //! - [`net`]: the one place where connections are made and accepted.
 //! - [`process`]: signals and threads of a daemon.
+//! - [`timer`]: time-outs that let go first what has arrived.
 //! - [`settings`]: reading and checking settings files.
 
 mod clock;
@@ -19,6 +20,7 @@
 pub mod rpc_convert;
 pub mod settings;
 pub mod target;
+pub mod timer;
 
 /// The code generated from `schema/barleyspool.proto`.
 #[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic)]
