Every time-out that judges a silence lets go first what has arrived

The same cause elsewhere: sends to targets, shared calls to pools, orders to other nodes and the question whether they are there, connections, reading the source and other nodes, bodies of calls, probes of members. timer::timeout takes the place of the runtime's in all of them; where many datagrams wait, a probe that is due goes out after 1,024 of them. After: an_answer_that_came_during_a_long_pause_of_the_process_is_delivered is green; before, a target whose answer lay in the kernel was taken for silent, its call sent again or told unknown.

--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -3,6 +3,7 @@
 use super::state::{ControlState, Origin};
 use crate::edges::{Feed, Source, SourceChange, SourceError};
 use barleyspool_core::{FeedCursor, FeedStep, Revision, Span, TargetTable, WATCH_MARGIN, poll_wait};
+use barleyspool_wire::timer;
 use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,7 +106,7 @@
     limit: Duration,
     work: impl Future<Output = Result<T, SourceError>>,
 ) -> Result<T, SourceError> {
-    match tokio::time::timeout(limit, work).await {
+    match timer::timeout(limit, work).await {
         Ok(result) => result,
         Err(_) => Err(SourceError::Unreachable("no answer in time".to_owned())),
     }
--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -6,6 +6,7 @@
 use crate::event_log::Line;
 use barleyspool_core::{Member, MemberHealth, Span, Time};
 use barleyspool_wire::net;
+use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
@@ -115,7 +116,7 @@
 
 async fn ask(state: &ControlState, peer: &SocketAddr) -> Result<Known, AskFailure> {
     let query = known_query(state.held(), wants_whole(state));
-    let answer = tokio::time::timeout(ASK_TIMEOUT, fetch(peer, &query)).await;
+    let answer = timer::timeout(ASK_TIMEOUT, fetch(peer, &query)).await;
     answer.unwrap_or(Err(AskFailure::Silent))
 }
 
--- a/crates/barleyspool_gateway/src/control/members.rs
+++ b/crates/barleyspool_gateway/src/control/members.rs
@@ -2,6 +2,7 @@
 
 use super::state::ControlState;
 use barleyspool_core::{MemberAction, MemberEvent, MemberMessage};
+use barleyspool_wire::timer;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -11,21 +12,35 @@
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
+/// Datagrams that are read while a probe is due: what a fleet of 400 may have sent in a pause of a few seconds. After them the probe
+/// goes out, so that a node that cannot keep up with its datagrams is not silent too.
+const MOST_IN_ROW: usize = 1024;
+
 /// Runs the membership until the process ends.
 pub async fn run(state: Rc<ControlState>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut in_row = 0;
     loop {
         send_all(&state, &socket).await;
         let wake = state.membership.borrow().next_wake();
         let wait = Duration::from_micros(wake.since(state.now()).0.max(1000));
+        if wake > state.now() {
+            in_row = 0;
+        }
         tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
+            // Answers that came while the process was paused go before suspicions.
+            biased;
+            received = socket.recv_from(&mut buffer), if in_row < MOST_IN_ROW => {
+                in_row += 1;
                 // Whatever cannot be received is as good as a lost datagram; probes find out.
                 let Ok((length, from)) = received else { continue };
                 take(&state, &buffer[..length], from);
             }
             () = state.outbox_filled.notified() => {}
-            () = tokio::time::sleep(wait) => state.step_members(MemberEvent::Tick),
+            () = timer::sleep(wait) => {
+                in_row = 0;
+                state.step_members(MemberEvent::Tick);
+            }
         }
     }
 }
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -168,7 +168,7 @@
     let longest = taken.map_or(limits.idle_time, |taken| patience(&taken.head, &taken.route));
     let left = (arrived + longest).since(traffic.now());
     let read = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(duration(left), read).await {
+    match timer::timeout(duration(left), read).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             Err(CallFailure::not_run(Reason::PayloadTooLarge))
--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -1,6 +1,7 @@
 //! Open connections to targets. One is used by one call at a time, and again only after a whole answer.
 
 use barleyspool_wire::net;
+use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -130,10 +131,7 @@
 }
 
 async fn connect(address: &str, target: &str) -> Option<Connection> {
-    let stream = tokio::time::timeout(CONNECT, net::connect(address))
-        .await
-        .ok()?
-        .ok()?;
+    let stream = timer::timeout(CONNECT, net::connect(address)).await.ok()?.ok()?;
     let (sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .ok()?;
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -15,6 +15,7 @@
 use barleyspool_core::{
     Choose, Chosen, Counter, NextStep, Reason, RouteKind, SendEnd, SendKey, Span, StageRun, next_step,
 };
+use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
@@ -191,7 +192,7 @@
 async fn release_while<T>(sent: impl Future<Output = T>, results: &mut Results, wait: Option<Span>) -> T {
     let mut sent = std::pin::pin!(sent);
     if let Some(wait) = wait {
-        match tokio::time::timeout(duration(wait), sent.as_mut()).await {
+        match timer::timeout(duration(wait), sent.as_mut()).await {
             Ok(sent) => return sent,
             Err(_) => results.release_all(),
         }
@@ -312,7 +313,7 @@
     let sent = traffic
         .connections
         .send(&chosen.address, &chosen.id, request, || call.sending.set(true));
-    let (connection, response) = match tokio::time::timeout(patience, sent).await {
+    let (connection, response) = match timer::timeout(patience, sent).await {
         Ok(Ok(sent)) => sent,
         Ok(Err(SendFailure::NotWritten)) => return Err(SendEnd::Unreachable),
         Ok(Err(SendFailure::BrokenOff)) => return Err(SendEnd::BrokenOff),
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -8,6 +8,7 @@
 use barleyspool_wire::pieces::{
     self, Pieces, PiecesClient, PlaceRequest, PlaceStep, Placed, RemoteEnd, RemoteOrder, RemoteRelease,
 };
+use barleyspool_wire::timer;
 use futures::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -162,7 +163,7 @@
         if let Some(link) = self.links.borrow().get(address) {
             return Some(Rc::clone(link));
         }
-        let client = tokio::time::timeout(CONNECT, pieces::connect(address))
+        let client = timer::timeout(CONNECT, pieces::connect(address))
             .await
             .ok()?
             .ok()?;
@@ -212,12 +213,12 @@
 
 /// Waits a while, then makes sure that the node answers; orders that share a link share the question.
 async fn still_there(link: &Link) -> bool {
-    tokio::time::sleep(SILENT).await;
+    timer::sleep(SILENT).await;
     if link.heard.get().elapsed() < SILENT || link.pinging.get() {
         return true;
     }
     link.pinging.set(true);
-    let asked = tokio::time::timeout(PING, link.client.ping(context::current())).await;
+    let asked = timer::timeout(PING, link.client.ping(context::current())).await;
     link.pinging.set(false);
     let there = matches!(asked, Ok(Ok(())));
     if there {
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -10,6 +10,7 @@
 use super::pools::PoolId;
 use barleyspool_core::{Choose, Chosen, Need, SendEnd, SendKey, Shard, Time, rendezvous};
 use barleyspool_wire::pieces::{PlaceRequest, PlaceStep, Placed};
+use barleyspool_wire::timer;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -94,7 +95,7 @@
         Owner::Me => place_here(traffic, &request),
         Owner::Other(address) => {
             let asked = traffic.peers.place(address, request);
-            tokio::time::timeout(ANSWER, asked).await.ok().flatten()
+            timer::timeout(ANSWER, asked).await.ok().flatten()
         }
     };
     let placement = Placement {
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -9,6 +9,7 @@
     CallKey, CallOutcome, Counter, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome,
     PieceQueue, PoolSpec, Span,
 };
+use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
@@ -152,7 +153,7 @@
     let (key, target, pieces) = (call.call, call.id.clone(), call.asks.len());
     let far_kb = far_bytes(&traffic, &call) / 1000;
     let began = traffic.now();
-    let answer = match tokio::time::timeout(CALL_TIMEOUT, send_call(&traffic, call)).await {
+    let answer = match timer::timeout(CALL_TIMEOUT, send_call(&traffic, call)).await {
         Ok(answer) => answer,
         Err(_) => CallAnswer::without(CallOutcome::BrokenOff),
     };
@@ -339,5 +340,5 @@
             pool.wake();
         }
     };
-    let _ = tokio::time::timeout(CALL_TIMEOUT, work).await;
+    let _ = timer::timeout(CALL_TIMEOUT, work).await;
 }
--- a/crates/barleyspool_wire/src/http.rs
+++ b/crates/barleyspool_wire/src/http.rs
@@ -2,6 +2,7 @@
 //! connection touch another.
 
 use crate::net;
+use crate::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -71,7 +72,7 @@
 ) -> Result<(StatusCode, Bytes), HttpError> {
     let exchange = exchange(peer, method, path, body, limit);
     let ms = timeout.as_millis() as u64;
-    tokio::time::timeout(timeout, exchange)
+    timer::timeout(timeout, exchange)
         .await
         .map_err(|_| HttpError::Timeout {
             peer: peer.to_owned(),
--- a/crates/barleyspool_wire/src/net.rs
+++ b/crates/barleyspool_wire/src/net.rs
@@ -3,6 +3,7 @@
 //! Every connection of every process goes through [`connect`] or [`listen`] with [`accept`]. TLS will go
 //! here, and nowhere else.
 
+use crate::timer;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 /// been sent then.
 pub async fn connect(address: &str) -> io::Result<TcpStream> {
     let address: SocketAddr = address.parse().map_err(io::Error::other)?;
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    let stream = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     prepare(&stream)?;
     bound_unacknowledged(&stream)?;
     Ok(stream)
