Held memory is counted by what holds it

Cause: the count was put back at the end of a function that a caller who leaves ends in the middle. With 8 MB allowed and bodies of 9 KB, 900 callers that leave made a node refuse every call as out of memory, until its end. Answers that slow callers have not taken were not counted at all.

--- a/crates/barleyspool_gateway/src/settings.rs
+++ b/crates/barleyspool_gateway/src/settings.rs
@@ -99,7 +99,7 @@
     pub stop_end_ms: u64,
     /// The budget for sending calls again.
     pub retry: RetrySettings,
-    /// The most bytes of bodies held at once, in megabytes; at least 1.
+    /// The most bytes of bodies of calls and answers held at once, in megabytes; at least 1.
     pub body_memory_mb: u64,
     /// Whether callers send a call again under the same key. This gateway does not remember keys, so only
     /// `false` is allowed; deployments whose callers do that run `barleyspool-entry`.
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -2,10 +2,11 @@
 
 use super::Traffic;
 use super::admission::{self, PlannedPieces};
-use super::answer_body::AnswerBody;
+use super::answer_body::{AnswerBody, WholeBody};
 use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::final_send;
+use super::held_bytes::HeldBytes;
 use super::placement;
 use super::results::Results;
 use super::stages;
@@ -63,6 +64,9 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Counts its body as held.
+    #[allow(dead_code, reason = "kept for its drop")]
+    held: HeldBytes,
     /// What has been done for it.
     pub history: Cell<SendHistory>,
     /// Whether a send is under way of which something may have been written.
@@ -107,18 +111,14 @@
         Ok(taken) => (taken.head.id.as_str(), taken.route.name.as_str(), taken.rank),
         Err(_) => ("", "", 0),
     };
-    let guard = CallGuard::new(&traffic, id, route, rank, arrived);
+    let guard = Rc::new(CallGuard::new(&traffic, id, route, rank, arrived));
     let (taken, body) = match (taken, read) {
         (Ok(taken), Ok(body)) => (taken, body),
         (Err(failure), _) | (_, Err(failure)) => return fail(&traffic, guard, &failure),
     };
     let call = call(&traffic, taken, parts, body, arrived);
     let id = CallId(call.head.id.clone());
-    let held = call.body.len() as u64;
-    let memory = &traffic.held_bodies;
-    memory.set(memory.get() + held);
     let mut answer = run(call, guard).await;
-    memory.set(memory.get().saturating_sub(held));
     answer.extensions_mut().insert(id);
     answer
 }
@@ -144,7 +144,7 @@
         return Err(CallFailure::not_run(Reason::UnknownKey));
     }
     let limit = traffic.shared.settings.body_memory_mb << 20;
-    if traffic.held_bodies.get() > limit {
+    if traffic.held_bytes.get() > limit {
         return Err(CallFailure::not_run(Reason::MemoryFull).after(MEMORY_WAIT));
     }
     Ok(Taken {
@@ -208,6 +208,7 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
+        held: HeldBytes::new(traffic, body.len()),
         body,
         history: Cell::default(),
         sending: Cell::new(false),
@@ -238,7 +239,7 @@
 }
 
 /// Runs a call to its answer, or to the end of its time.
-async fn run(call: Call, guard: CallGuard) -> Response<AnswerBody> {
+async fn run(call: Call, guard: Rc<CallGuard>) -> Response<AnswerBody> {
     let call = Rc::new(call);
     let traffic = Rc::clone(&call.traffic);
     if let Err(failure) = admission::admit(&call) {
@@ -251,7 +252,6 @@
         .borrow_mut()
         .count_request(traffic.now(), &call.service);
     let left = duration(call.deadline.since(traffic.now()));
-    let guard = Rc::new(guard);
     let work = answer(Rc::clone(&call), Rc::clone(&guard));
     let answered = tokio::select! {
         // An answer that is ready is delivered, however late it is.
@@ -262,11 +262,7 @@
     };
     match answered {
         Ok(response) => response,
-        Err(failure) => {
-            let response = (traffic.edges.caller.fail)(&failure);
-            guard.failed(response.status().as_u16(), &failure);
-            whole(response, None)
-        }
+        Err(failure) => fail(&traffic, guard, &failure),
     }
 }
 
@@ -434,13 +430,8 @@
 }
 
 /// The answer to a call that no target answered.
-fn fail(traffic: &Traffic, guard: CallGuard, failure: &CallFailure) -> Response<AnswerBody> {
+fn fail(traffic: &Traffic, guard: Rc<CallGuard>, failure: &CallFailure) -> Response<AnswerBody> {
     let response = (traffic.edges.caller.fail)(failure);
     guard.failed(response.status().as_u16(), failure);
-    whole(response, Some(guard))
-}
-
-/// A whole answer; its guard is dropped when it has been written.
-pub fn whole(response: Response<Bytes>, guard: Option<CallGuard>) -> Response<AnswerBody> {
-    response.map(|body| AnswerBody::Whole(Some(body), guard))
+    response.map(|body| AnswerBody::Whole(WholeBody::refusal(body, guard)))
 }
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -1,10 +1,11 @@
 //! Sending a call to the target that answers it, again when that may be done.
 
-use super::answer_body::AnswerBody;
+use super::answer_body::{AnswerBody, WholeBody};
 use super::call::Call;
 use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::connections::{Connection, SendFailure};
+use super::held_bytes::HeldBytes;
 use super::placement::{self, Placement};
 use super::results::Results;
 use super::send_request::{answer_parts, request};
@@ -157,8 +158,9 @@
                 if next(call, end) != NextStep::Retry || !may_retry(call, end) {
                     guard.first_output();
                     guard.answered(parts.status);
-                    let response =
-                        Response::from_parts(answer_parts(parts), AnswerBody::Whole(Some(body), None));
+                    let held = HeldBytes::new(&call.traffic, body.len());
+                    let body = WholeBody::answer(body, held, Rc::clone(guard));
+                    let response = Response::from_parts(answer_parts(parts), AnswerBody::Whole(body));
                     return Ok(Outcome::Answered(response));
                 }
                 retry = end.retry_reason().name();
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod connection_watch;
 mod connections;
 mod final_send;
+mod held_bytes;
 mod peers;
 mod placement;
 mod pool;
@@ -62,8 +63,8 @@
     pub peers: Peers,
     /// What has been counted.
     pub counters: RefCell<Counters>,
-    /// Bytes of bodies that are held.
-    pub held_bodies: Cell<u64>,
+    /// Bytes of bodies of calls and answers that are held; see [`held_bytes::HeldBytes`].
+    pub held_bytes: Cell<u64>,
     /// Calls that this node has placed at engines.
     pub placements: RefCell<Placements>,
     /// Pieces that calls which were taken here will still bring to each pool.
@@ -123,7 +124,7 @@
         pools: Pools::default(),
         peers: Peers::default(),
         counters: RefCell::default(),
-        held_bodies: Cell::new(0),
+        held_bytes: Cell::new(0),
         placements: RefCell::default(),
         planned: RefCell::default(),
         pace: RefCell::default(),
