A question whether a node is there ends with whatever asked it

Cause: a question was marked as under way before it was asked and unmarked after it. When the order that asked ended in the same moment, the rest was dropped and the mark stayed: no question was asked on that connection again, and its node was taken for there whatever it did. A pool's owner that froze later held up every order until its deadline. Mend: the mark ends with its holder. an_owner_that_was_paused_before_is_found_out_again is green; before, the call was told 503 after 3 s.

--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -217,9 +217,8 @@
     if link.heard.get().elapsed() < SILENT || link.pinging.get() {
         return true;
     }
-    link.pinging.set(true);
+    let _asking = Asking::new(link);
     let asked = timer::timeout(PING, link.client.ping(context::current())).await;
-    link.pinging.set(false);
     let there = matches!(asked, Ok(Ok(())));
     if there {
         link.heard.set(Instant::now());
@@ -227,6 +226,23 @@
     there
 }
 
+/// A question whether a node is there. It ends when this is dropped, also with an order that ended in the same moment: a question
+/// that counted as under way for ever would be the last one, and the node taken for there whatever it does.
+struct Asking<'a>(&'a Link);
+
+impl<'a> Asking<'a> {
+    fn new(link: &'a Link) -> Self {
+        link.pinging.set(true);
+        Self(link)
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.0.pinging.set(false);
+    }
+}
+
 // ----------------------------------------------------------------------------
 // Serving other nodes
 
