--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -7,6 +7,7 @@
 use super::callers::duration;
 use super::final_send;
 use super::held_bytes::HeldBytes;
+use super::intake::{Taken, patience, read_body, take};
 use super::placement;
 use super::results::Results;
 use super::stages;
@@ -17,7 +18,6 @@
 };
 use barleyspool_wire::timer;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
@@ -27,13 +27,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// When to come back to a node that has no configuration yet.
-const CATCH_UP_WAIT: Span = Span::from_millis(300);
-/// When to come back to a node that holds too many bodies.
-const MEMORY_WAIT: Span = Span::from_millis(500);
-/// The longest time that a call is held when neither it nor its route says.
-pub const LONGEST: Span = Span::from_secs(60);
-
 /// A call that was taken.
 pub struct Call {
     /// What the tasks share.
@@ -85,15 +78,6 @@
     pub stage_forecast: Cell<Span>,
 }
 
-/// What a call is, before its body has been read.
-struct Taken {
-    head: CallHead,
-    route: Route,
-    organisation: String,
-    rank: u8,
-    catalog: Arc<Catalog>,
-}
-
 /// The id of the call that an answer belongs to, for those who write the answer.
 #[derive(Clone)]
 pub struct CallId(pub String);
@@ -123,71 +107,6 @@
     answer
 }
 
-/// Looks up route and key, and refuses what can never be right.
-fn take(traffic: &Traffic, parts: &Parts) -> Result<Taken, CallFailure> {
-    let head = (traffic.edges.caller.read)(parts).map_err(|cause| {
-        let failure = CallFailure::not_run(Reason::BadCall);
-        failure.at(&cause, "")
-    })?;
-    if stopping::is_too_late(traffic) {
-        return Err(stopping::refusal());
-    }
-    let plan = traffic.plan();
-    let Some(catalog) = plan.catalog.clone() else {
-        return Err(CallFailure::not_run(Reason::NoConfiguration).after(CATCH_UP_WAIT));
-    };
-    let Some(route) = catalog.route(&head.host, &head.path).cloned() else {
-        return Err(CallFailure::not_run(Reason::UnknownRoute));
-    };
-    let holder = head.key.as_deref().and_then(|key| catalog.holder(key));
-    if holder.is_none() && catalog.keyed() && !route.public {
-        return Err(CallFailure::not_run(Reason::UnknownKey));
-    }
-    let limit = traffic.shared.settings.body_memory_mb << 20;
-    if traffic.held_bytes.get() > limit {
-        return Err(CallFailure::not_run(Reason::MemoryFull).after(MEMORY_WAIT));
-    }
-    Ok(Taken {
-        organisation: holder.map(|holder| holder.name.clone()).unwrap_or_default(),
-        rank: catalog.rank(holder, &route),
-        head,
-        route,
-        catalog,
-    })
-}
-
-async fn read_body(
-    traffic: &Traffic,
-    taken: Option<&Taken>,
-    arrived: Time,
-    body: Incoming,
-) -> Result<Bytes, CallFailure> {
-    let limits = taken
-        .map(|taken| taken.catalog.document.limits)
-        .unwrap_or_default();
-    let longest = taken.map_or(limits.idle_time, |taken| patience(&taken.head, &taken.route));
-    let left = (arrived + longest).since(traffic.now());
-    let read = Limited::new(body, limits.body_bytes).collect();
-    match timer::timeout(duration(left), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(CallFailure::not_run(Reason::PayloadTooLarge))
-        }
-        Ok(Err(_)) => Err(CallFailure::not_run(Reason::CallerLeft)),
-        Err(_) => Err(CallFailure::not_run(Reason::DeadlineMissed)),
-    }
-}
-
-/// How long a call is held at the most.
-fn patience(head: &CallHead, route: &Route) -> Span {
-    let route = if route.timeout == Span::ZERO {
-        LONGEST
-    } else {
-        route.timeout
-    };
-    head.patience.map_or(route, |patience| patience.min(route))
-}
-
 fn call(traffic: &Rc<Traffic>, taken: Taken, parts: Parts, body: Bytes, arrived: Time) -> Call {
     let service = pick_share(&taken.route);
     let engine = taken
--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -6,8 +6,9 @@
 //! with unread bytes is reset, and a reset takes along what the kernel has not sent yet.
 
 use super::answer_body::AnswerBody;
-use super::call::LONGEST;
+
 use super::connection_watch::{CallMark, ConnectionWatch};
+use super::intake::LONGEST;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod connections;
 mod final_send;
 mod held_bytes;
+mod intake;
 mod peers;
 mod placement;
 mod pool;
