--- a/crates/barleyspool_gateway/src/traffic/intake.rs
+++ b/crates/barleyspool_gateway/src/traffic/intake.rs
@@ -7,7 +7,7 @@
 use barleyspool_core::{CallHead, Catalog, Reason, Route, Span, Time};
 use barleyspool_wire::timer;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use std::sync::Arc;
@@ -79,13 +79,16 @@
     let longest = taken.map_or(limits.idle_time, |taken| patience(&taken.head, &taken.route));
     let left = (arrived + longest).since(traffic.now());
     let read = Limited::new(body, limits.body_bytes).collect();
-    match timer::timeout(duration(left), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(CallFailure::not_run(Reason::PayloadTooLarge))
-        }
-        Ok(Err(_)) => Err(CallFailure::not_run(Reason::CallerLeft)),
-        Err(_) => Err(CallFailure::not_run(Reason::DeadlineMissed)),
+    let read = tokio::select! {
+        biased;
+        read = read => read,
+        () = timer::sleep(duration(left)) => return Err(CallFailure::not_run(Reason::DeadlineMissed)),
+        () = stopping::cut(traffic) => return Err(stopping::refusal()),
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(CallFailure::not_run(Reason::PayloadTooLarge)),
+        Err(_) => Err(CallFailure::not_run(Reason::CallerLeft)),
     }
 }
 
