--- a/crates/barleyspool_core/src/forward/planned_stop.rs
+++ b/crates/barleyspool_core/src/forward/planned_stop.rs
@@ -20,7 +20,7 @@
     Serving,
     /// Calls and connections are taken as before, since callers keep addresses; each answer closes its connection.
     Leaving,
-    /// The door is to be closed: connections that wait are taken, then no more. Open ones may still bring a call.
+    /// The listener is to be closed: connections that wait are taken, then no more. Open ones may still bring a call.
     Closing,
     /// What was taken is finished; connections at rest are closed, and a call that comes now is refused.
     Finishing,
@@ -36,7 +36,7 @@
     began: Time,
     accept: Span,
     end: Span,
-    door_closed: Option<Time>,
+    listener_closed: Option<Time>,
 }
 
 impl PlannedStop {
@@ -46,13 +46,13 @@
             began: now,
             accept,
             end,
-            door_closed: None,
+            listener_closed: None,
         }
     }
 
     /// Every connection that had been made was taken, and no new one can be made.
-    pub fn door_closed(&mut self, now: Time) {
-        self.door_closed.get_or_insert(now);
+    pub fn listener_closed(&mut self, now: Time) {
+        self.listener_closed.get_or_insert(now);
     }
 
     /// When the last answers are given: no call that is taken during the stop may last longer.
@@ -65,7 +65,7 @@
         if now >= self.began + self.end {
             return StopPhase::Over;
         }
-        match self.door_closed {
+        match self.listener_closed {
             // Connections that nobody has taken yet are not among the open ones.
             Some(closed) if now >= closed + LAST_CALLS && open == 0 => StopPhase::Over,
             _ if now >= self.last_answers() => StopPhase::Cutting,
--- a/crates/barleyspool_core/tests/forward_stop.rs
+++ b/crates/barleyspool_core/tests/forward_stop.rs
@@ -22,7 +22,7 @@
     assert_eq!(stop.phase(at(0), 3), StopPhase::Leaving);
     assert_eq!(stop.phase(at(2499), 0), StopPhase::Leaving);
     assert_eq!(stop.phase(at(2500), 3), StopPhase::Closing);
-    stop.door_closed(at(2510));
+    stop.listener_closed(at(2510));
     assert_eq!(
         stop.phase(at(2709), 0),
         StopPhase::Closing,
@@ -34,17 +34,17 @@
 
 /// A traffic thread that was kept from running has not taken the connections that wait: none is open, and yet there are some.
 #[test]
-fn a_stop_does_not_end_before_the_door_is_closed() {
+fn a_stop_does_not_end_before_the_listener_is_closed() {
     assert_eq!(stop().phase(at(6000), 0), StopPhase::Closing);
 }
 
 /// A thread that slept through all of it still gives connections that were just taken time to bring their calls.
 #[test]
-fn calls_have_their_time_however_late_the_door_was_closed() {
+fn calls_have_their_time_however_late_the_listener_was_closed() {
     let mut stop = stop();
-    stop.door_closed(at(4000));
+    stop.listener_closed(at(4000));
     assert_eq!(stop.phase(at(4100), 40), StopPhase::Closing);
-    stop.door_closed(at(4150));
+    stop.listener_closed(at(4150));
     assert_eq!(
         stop.phase(at(4200), 40),
         StopPhase::Finishing,
@@ -55,7 +55,7 @@
 #[test]
 fn what_is_not_done_is_answered_before_the_end() {
     let mut stop = stop();
-    stop.door_closed(at(2500));
+    stop.listener_closed(at(2500));
     assert_eq!(stop.phase(at(6899), 1), StopPhase::Finishing);
     assert_eq!(stop.phase(at(6900), 1), StopPhase::Cutting);
     assert_eq!(stop.last_answers(), at(6900));
@@ -70,7 +70,7 @@
         steps.into_iter().all(|step| {
             now += u64::from(step % 700);
             if now >= closed.max(2500) {
-                stop.door_closed(at(now));
+                stop.listener_closed(at(now));
             }
             let phase = stop.phase(at(now), usize::from(open));
             let forward = phase >= last;
--- a/crates/barleyspool_gateway/src/control/stop.rs
+++ b/crates/barleyspool_gateway/src/control/stop.rs
@@ -27,8 +27,8 @@
     let mut stop = begin(&state);
     let shared = &state.shared;
     loop {
-        if shared.door_closed.load(Ordering::Acquire) {
-            stop.door_closed(state.now());
+        if shared.listener_closed.load(Ordering::Acquire) {
+            stop.listener_closed(state.now());
         }
         let open = shared.open_callers.load(Ordering::Acquire);
         let phase = stop.phase(state.now(), open);
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -83,7 +83,7 @@
             in_flight: AtomicUsize::new(0),
             open_callers: AtomicUsize::new(0),
             stop: watch::Sender::default(),
-            door_closed: AtomicBool::new(false),
+            listener_closed: AtomicBool::new(false),
             listening: AtomicBool::new(false),
         });
         let settings = &shared.settings;
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -43,7 +43,7 @@
     /// How far a planned stop is.
     pub stop: watch::Sender<StopPhase>,
     /// Set when every connection of a caller that had been made was taken, and no new one can be made.
-    pub door_closed: AtomicBool,
+    pub listener_closed: AtomicBool,
     /// Whether the traffic thread is listening.
     pub listening: AtomicBool,
 }
--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -8,7 +8,7 @@
 use super::answer_body::AnswerBody;
 
 use super::connection_watch::{CallMark, ConnectionWatch};
-use super::intake::LONGEST;
+use super::read_call::LONGEST;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -24,7 +24,7 @@
 /// The header that tells a caller to make a new connection for its next call.
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
-/// Accepts callers until the planned stop closes the door, then those that are connected already, then no more.
+/// Accepts callers until the planned stop closes the listener, then those that are connected already, then no more.
 pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener) {
     let mut stop = traffic.shared.stop.subscribe();
     loop {
@@ -45,7 +45,7 @@
         let open = OpenCaller::new(&traffic);
         spawn_local(serve_caller(open, stream));
     }
-    traffic.shared.door_closed.store(true, Ordering::Release);
+    traffic.shared.listener_closed.store(true, Ordering::Release);
 }
 
 async fn serve_caller(open: OpenCaller, stream: TcpStream) {
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -217,7 +217,7 @@
     if link.heard.get().elapsed() < SILENT || link.pinging.get() {
         return true;
     }
-    let _asking = Asking::new(link);
+    let _mark = PingMark::new(link);
     let asked = timer::timeout(PING, link.client.ping(context::current())).await;
     let there = matches!(asked, Ok(Ok(())));
     if there {
@@ -228,16 +228,16 @@
 
 /// A question whether a node is there. It ends when this is dropped, also with an order that ended in the same moment: a question
 /// that counted as under way for ever would be the last one, and the node taken for there whatever it does.
-struct Asking<'a>(&'a Link);
+struct PingMark<'a>(&'a Link);
 
-impl<'a> Asking<'a> {
+impl<'a> PingMark<'a> {
     fn new(link: &'a Link) -> Self {
         link.pinging.set(true);
         Self(link)
     }
 }
 
-impl Drop for Asking<'_> {
+impl Drop for PingMark<'_> {
     fn drop(&mut self) {
         self.0.pinging.set(false);
     }
--- a/crates/barleyspool_wire/src/process.rs
+++ b/crates/barleyspool_wire/src/process.rs
@@ -70,12 +70,12 @@
 }
 
 /// Tells that a thread ended, also when it panicked.
-struct EndTeller {
+struct EndNotice {
     name: String,
     ends: mpsc::Sender<ThreadEnd>,
 }
 
-impl Drop for EndTeller {
+impl Drop for EndNotice {
     fn drop(&mut self) {
         let end = ThreadEnd {
             name: std::mem::take(&mut self.name),
@@ -103,13 +103,13 @@
     /// # Errors
     /// When the operating system refuses it.
     pub fn spawn(&mut self, name: &str, body: impl FnOnce() + Send + 'static) -> io::Result<()> {
-        let teller = EndTeller {
+        let notice = EndNotice {
             name: name.to_owned(),
             ends: self.ends.clone(),
         };
         let thread = std::thread::Builder::new().name(name.to_owned());
         thread.spawn(move || {
-            let _teller = teller;
+            let _notice = notice;
             body();
         })?;
         self.running += 1;
