--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -1,12 +1,11 @@
 //! A caller's connection, between the socket and the HTTP library.
 //!
 //! The library does not tell whether what it was given has left the process. This layer sees the socket, and tells
-//! [`ConnectionWatch`]. It closes in two
-//! steps: first for writing, then, when the caller has closed too or after [`LINGER`], altogether. A socket that is closed
-//! with unread bytes is reset, and a reset takes along what the kernel has not sent yet.
+//! [`ConnectionWatch`]. It closes in two steps: first for writing, then, when the caller has closed too or after
+//! [`LINGER`], altogether. A socket that is closed with unread bytes is reset, and a reset takes along what the kernel has
+//! not sent yet.
 
 use super::answer_body::AnswerBody;
-
 use super::connection_watch::{CallMark, ConnectionWatch};
 use super::read_call::LONGEST;
 use hyper::body::{Body, Frame, SizeHint};
