--- a/crates/barleyspool_gateway/src/traffic/caller_io.rs
+++ b/crates/barleyspool_gateway/src/traffic/caller_io.rs
@@ -20,8 +20,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep, sleep_until};
 
-/// How long after its last bytes a connection is read on before it is closed altogether. A caller that takes a megabyte
-/// a second gets all that the kernel may hold of an answer when its next call comes meanwhile; longer holds up a planned stop.
+/// How long after its last bytes a connection is read on before it is closed altogether. Chosen, not measured: it is long
+/// against the way of a call that crosses the close, and what it adds to a planned stop is bounded. A caller that takes longer
+/// for what the kernel holds still gets it, unless it sends more meanwhile.
 const LINGER: Duration = Duration::from_secs(1);
 /// How long a caller may take nothing of what is written before its connection ends. No call is held longer than this
 /// ([`LONGEST`]), so a caller that takes nothing for so long has given up or has lost power.
