--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod need;
 mod piece_order;
 mod piece_pick;
+mod piece_plan;
 mod piece_queue;
 mod piece_time;
 mod plan;
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -8,8 +8,8 @@
 use super::kept_results::Kept;
 use super::piece_order::PieceItem;
 use super::{
-    CallKey, CallOutcome, ColdSpec, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome,
-    PoolSpec, PoolTarget, TargetEntry, TargetRun, TargetTable, handle_address,
+    CallKey, CallOutcome, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome, PoolSpec,
+    PoolTarget, TargetRun,
 };
 use crate::{Span, Time};
 use slotmap::SlotMap;
@@ -32,7 +32,7 @@
     pub(super) came: Time,
     pub(super) pieces: Vec<Piece>,
     tries: Vec<u8>,
-    made: u32,
+    pub(super) made: u32,
     pub(super) waiting: u32,
 }
 
@@ -76,81 +76,6 @@
         }
     }
 
-    /// Takes a newer specification and the targets of the pool that this queue owns. A target that went over to
-    /// another shard gets nothing more from here, but its results can still be freed.
-    ///
-    /// A target that runs again under its id is a new one, and what the run before it held is made again.
-    pub fn take_plan(
-        &mut self,
-        spec: &PoolSpec,
-        cold: Option<ColdSpec>,
-        table: &TargetTable,
-        mine: impl Fn(&TargetEntry) -> bool,
-    ) {
-        self.spec = spec.clone();
-        let same_run = |id: &String, target: &PoolTarget| {
-            table.get(id).is_none_or(|entry| entry.run == target.entry.run)
-        };
-        let ended: Vec<(String, String)> = self
-            .targets
-            .iter()
-            .filter(|(id, target)| !same_run(id, target))
-            .map(|(id, target)| (id.clone(), target.entry.address.clone()))
-            .collect();
-        for (id, address) in ended {
-            self.run_ended(&id, &address);
-        }
-        self.targets
-            .retain(|id, target| table.contains_key(id) || target.calls > 0);
-        for (id, entry) in table.iter().filter(|(_, entry)| mine(entry)) {
-            let new = || PoolTarget::new(entry.clone());
-            self.targets.entry(id.clone()).or_insert_with(new);
-        }
-        for (id, target) in &mut self.targets {
-            match table.get(id) {
-                Some(entry) => {
-                    target.owned = mine(entry);
-                    target.take_entry(entry, cold);
-                }
-                None => target.entry.leaving = true,
-            }
-        }
-    }
-
-    /// A run of a target has ended, and its results with it.
-    fn run_ended(&mut self, id: &str, address: &str) {
-        self.targets.remove(id);
-        self.kept.retain(|_, kept| kept.target != id);
-        for order in self.orders.values_mut() {
-            for piece in &mut order.pieces {
-                let lost = matches!(piece, Piece::Made(handle) if handle_address(handle) == address);
-                if lost {
-                    *piece = Piece::Waiting;
-                    order.waiting += 1;
-                    order.made -= 1;
-                }
-            }
-        }
-    }
-
-    /// Ends orders whose inputs are gone by what is known, rather than let a call find it out. `lost` says whether a result
-    /// that was known at a time has gone since.
-    pub fn drop_lost(&mut self, lost: impl Fn(&str, Time) -> bool) {
-        let is_lost = |order: &Order| {
-            let inputs = &order.order.inputs;
-            order.waiting > 0 && inputs.iter().any(|input| lost(input, order.came))
-        };
-        let keys: Vec<OrderKey> = self
-            .orders
-            .iter()
-            .filter(|(_, order)| is_lost(order))
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
-            self.end_order(key, OrderEnd::InputsGone);
-        }
-    }
-
     /// The targets, for operators.
     pub fn targets(&self) -> impl Iterator<Item = &PoolTarget> {
         self.targets.values()
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod reading;
 mod relay;
+mod source_changes;
 mod state;
 mod stop;
 
--- /dev/null
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -0,0 +1,189 @@
+//! Taking what the source, or another node for it, tells of configuration, evacuated zones and targets.
+
+use super::state::{ControlState, Origin};
+use crate::edges::{Feed, SourceChange};
+use crate::event_log::Line;
+use barleyspool_core::{
+    CatalogChange, CatalogDocument, CatalogStore, Lapsing, Offered, Revision, TargetChange, TargetCounts,
+    TargetEntry, TargetTable,
+};
+use std::collections::BTreeSet;
+
+impl ControlState {
+    /// Takes a configuration that `from` offers.
+    ///
+    /// Returns whether it is in force now.
+    pub fn offer(&self, document: CatalogDocument, from: Origin) -> bool {
+        let version = document.version;
+        self.take_configuration(version, from, |catalogs| catalogs.offer(document))
+    }
+
+    /// Takes what another node says has changed in the configuration.
+    ///
+    /// Returns whether a newer one is in force now.
+    pub fn offer_changes(&self, changes: Vec<CatalogChange>, from: Origin) -> bool {
+        let version = changes.last().map(CatalogChange::version).unwrap_or_default();
+        self.take_configuration(version, from, |catalogs| catalogs.apply(changes))
+    }
+
+    fn take_configuration(
+        &self,
+        version: Revision,
+        from: Origin,
+        take: impl FnOnce(&mut CatalogStore) -> Offered,
+    ) -> bool {
+        let before = self.catalogs.borrow().version().0;
+        let offered = take(&mut self.catalogs.borrow_mut());
+        let accepted = offered == Offered::Accepted;
+        let (version, from_name) = (version.0, from.name());
+        match offered {
+            Offered::Accepted => {
+                let line = Line::Configuration {
+                    version,
+                    before,
+                    from: from_name,
+                };
+                self.log.write(self.now(), &line);
+                self.publish();
+                self.source_moved(from == Origin::Source);
+            }
+            Offered::Old => {}
+            Offered::Bad(faults) => {
+                let cause = faults.first().map(ToString::to_string).unwrap_or_default();
+                let line = Line::ConfigurationRefused {
+                    version,
+                    cause: &cause,
+                    from: from_name,
+                };
+                self.log.write(self.now(), &line);
+            }
+        }
+        accepted
+    }
+
+    /// Takes a whole list of targets. Returns whether it is another one than before.
+    pub fn replace_targets(&self, at: Revision, table: TargetTable, from: Origin) -> bool {
+        let first = !self.targets_known.replace(true);
+        let changed = self.targets.borrow_mut().replace(self.now(), at, table);
+        if changed || first {
+            self.targets_changed(from);
+        }
+        changed
+    }
+
+    /// Takes changes of the list of targets. Returns whether it is another one than before.
+    pub fn apply_targets(&self, at: Revision, changes: Vec<TargetChange>, from: Origin) -> bool {
+        let changed = self.targets.borrow_mut().apply(self.now(), at, changes);
+        if changed {
+            self.targets_changed(from);
+        }
+        changed
+    }
+
+    /// Notes which entries of a list that stands at `at` are missing at the source and may come back.
+    pub fn note_lapsing(&self, at: Revision, lapsing: Lapsing) {
+        let now = self.now();
+        self.targets.borrow_mut().note_lapsing(now, at, lapsing);
+    }
+
+    /// Takes the zones that were evacuated at revision `at`.
+    pub fn replace_evacuations(&self, at: Revision, zones: BTreeSet<String>, from: Origin) {
+        let changed = self.evacuations.borrow_mut().replace(at, zones);
+        if changed {
+            self.evacuations_changed(from);
+        }
+    }
+
+    fn evacuations_changed(&self, from: Origin) {
+        let (zones, at) = {
+            let evacuations = self.evacuations.borrow();
+            (evacuations.zones.clone(), evacuations.at)
+        };
+        let line = Line::Evacuated {
+            zones: &zones.iter().map(String::as_str).collect::<Vec<_>>().join(","),
+            at: at.0,
+            from: from.name(),
+        };
+        self.log.write(self.now(), &line);
+        let changed = self.targets.borrow_mut().evacuate(self.now(), &zones);
+        if changed {
+            self.targets_changed(from);
+        } else {
+            self.source_moved(from == Origin::Source);
+        }
+    }
+
+    /// Takes changes that the source told.
+    pub fn take_changes(&self, feed: Feed, at: Revision, changes: Vec<SourceChange>) {
+        let mut targets = Vec::new();
+        let mut evacuations = Vec::new();
+        let mut configurations = Vec::new();
+        for change in changes {
+            match change {
+                SourceChange::Configuration(document) => configurations.push(document),
+                SourceChange::Evacuation { zone, evacuated } => evacuations.push((zone, evacuated)),
+                SourceChange::Target(entry) => targets.push(TargetChange::Put(entry)),
+                SourceChange::TargetGone(id) => targets.push(TargetChange::Gone(id)),
+                SourceChange::TargetUnreadable { id, key, cause } => {
+                    self.unreadable(&id, &key, &cause);
+                    targets.push(TargetChange::Put(TargetEntry::unreadable(&id)));
+                }
+                SourceChange::Malformed { key, cause } => self.skipped(&key, &cause),
+            }
+        }
+        // The revision of one feed says nothing of how far the other was heard.
+        match feed {
+            Feed::Targets => {
+                self.apply_targets(at, targets, Origin::Source);
+            }
+            Feed::Configuration => {
+                let changed = self.evacuations.borrow_mut().apply(at, evacuations);
+                if changed {
+                    self.evacuations_changed(Origin::Source);
+                }
+                for document in configurations {
+                    self.offer(*document, Origin::Source);
+                }
+            }
+        }
+    }
+
+    /// Takes entries as gone that lapsed while the source was away and did not come back.
+    pub fn expire_targets(&self) {
+        if self.targets.borrow_mut().expire(self.now()) {
+            self.targets_changed(Origin::Lapse);
+        }
+    }
+
+    /// An item of the source cannot be read.
+    pub fn skipped(&self, key: &str, cause: &str) {
+        self.log.write(self.now(), &Line::ItemSkipped { key, cause });
+    }
+
+    /// The entry of a target cannot be read: told once, until it can be read again.
+    pub fn unreadable(&self, id: &str, key: &str, cause: &str) {
+        let known = |entry: &TargetEntry| entry.unreadable;
+        if !self.targets.borrow().table.get(id).is_some_and(known) {
+            self.skipped(key, cause);
+        }
+    }
+
+    fn targets_changed(&self, from: Origin) {
+        let (counts, at) = {
+            let store = self.targets.borrow();
+            (TargetCounts::of(&store.table), store.at.0)
+        };
+        let line = Line::Targets {
+            targets: counts.listed,
+            leaving: counts.leaving,
+            evacuated: counts.evacuated,
+            unreadable: counts.unreadable,
+            restarted: counts.restarted,
+            at,
+            from: from.name(),
+        };
+        self.log.write(self.now(), &line);
+        self.publish();
+        self.source_moved(from == Origin::Source);
+    }
+}
