An owner of engines is asked every 60 ms while none is free; the time of warmth is kept per word

Reading the change: asking at every look (15 ms) would bring an owner some ten questions a call in a shortage of engines. A target that has written another time of cold under the same count gets it.

--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -88,11 +88,10 @@
         } else {
             self.log.note(at, differences(&before, &table));
         }
-        for (id, entry) in before
-            .iter()
-            .filter(|(id, _)| !table.contains_key(*id))
-            .collect::<Vec<_>>()
-        {
+        for (id, entry) in before.iter() {
+            if table.contains_key(id) {
+                continue;
+            }
             if self.keeps(now, id) {
                 table.insert(id.clone(), entry.clone());
             } else {
@@ -241,8 +240,12 @@
             None if first => {}
             None => word.times.began = now,
         }
-        let same_word = known.is_some_and(|known| (known.run, known.sequence) == (word.run, word.sequence));
-        if !same_word {
+        let same_word = known.is_some_and(|known| {
+            (known.run, known.sequence, known.cold) == (word.run, word.sequence, word.cold)
+        });
+        if word.cold == Span::ZERO {
+            word.times.warm_at = Time(0);
+        } else if !same_word {
             word.times.warm_at = now + word.cold;
         }
         Some(word)
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -31,6 +31,9 @@
 const FULL_SHARE: f64 = 0.15;
 /// How often it looks meanwhile.
 const FULL_LOOK: Duration = Duration::from_millis(15);
+/// How often it asks the owner of its engines meanwhile: an owner has 60 ms to answer, and with a question at each look a shortage
+/// of engines would bring each owner some ten questions for each call.
+const OWNER_LOOK: Span = Span::from_millis(60);
 /// A repeatable call goes elsewhere after this many times the expected time.
 const PATIENCE: f64 = 5.0;
 /// But never before this.
@@ -247,9 +250,13 @@
 pub async fn choose(call: &Call) -> Result<(Chosen, Option<Placement>), CallFailure> {
     let traffic = &call.traffic;
     let until = traffic.now() + call.route.aim.scale(FULL_SHARE);
+    let mut ask_at = traffic.now();
     loop {
-        if let Some((chosen, placement)) = placement::place(call).await {
-            return Ok((chosen, Some(placement)));
+        if traffic.now() >= ask_at {
+            if let Some((chosen, placement)) = placement::place(call).await {
+                return Ok((chosen, Some(placement)));
+            }
+            ask_at = traffic.now() + OWNER_LOOK;
         }
         let choice = traffic.forwarder.borrow_mut().choose(traffic.now(), &call.need());
         match choice {
