A node that nobody can tell the difference ends its deaf watch and reads the source

Asked for the difference since 11 they answered 'unknown'; the node marked the feed to be read whole, but its feed task sat in a watch that heard nothing until 7.843 s. The fault is older; timing brought it out.

Ruled out: the longer prefix of the watch (the same events come), the order of zones and configuration (no zone was evacuated).

Change: read_again ends the watch under way. Test with real processes: red before (2.3 s, when the short watch ended by itself), 1.2 s for the whole test now.

--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -75,9 +75,11 @@
         let _ = tokio::time::timeout(longest, self.told.notified()).await;
     }
 
-    /// The feed has to be read whole at the source.
+    /// The feed has to be read whole at the source. A watch of it that is under way ends: it should have told what is missing,
+    /// and may hear nothing for as long as it waits, 20 s (five seconds of an older configuration were seen).
     pub fn read_again(&self, feed: Feed) {
         self.missing[feed as usize].set(true);
+        self.end_watch(feed);
         self.changed.send_replace(());
     }
 
