--- a/crates/barleyspool_core/src/forward/piece_plan.rs
+++ b/crates/barleyspool_core/src/forward/piece_plan.rs
@@ -1,9 +1,7 @@
 //! What a pool takes from a newer plan: its targets, and what is lost with those that run again.
 
 use super::piece_queue::{Order, Piece};
-use super::{
-    ColdSpec, OrderEnd, OrderKey, PieceQueue, PoolSpec, PoolTarget, TargetEntry, TargetTable, handle_address,
-};
+use super::{ColdSpec, OrderEnd, PieceQueue, PoolSpec, PoolTarget, TargetEntry, TargetTable, handle_address};
 use crate::Time;
 
 impl PieceQueue {
@@ -71,14 +69,6 @@
             let inputs = &order.order.inputs;
             order.waiting > 0 && inputs.iter().any(|input| lost(input, order.came))
         };
-        let keys: Vec<OrderKey> = self
-            .orders
-            .iter()
-            .filter(|(_, order)| is_lost(order))
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
-            self.end_order(key, OrderEnd::InputsGone);
-        }
+        self.end_orders(is_lost, &OrderEnd::InputsGone);
     }
 }
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -124,15 +124,7 @@
     /// to the same targets, which hold a fraction of what they hold with full ones.
     pub fn hand_over(&mut self) {
         let untouched = |order: &Order| order.waiting as usize == order.pieces.len();
-        let keys: Vec<OrderKey> = self
-            .orders
-            .iter()
-            .filter(|(_, order)| untouched(order))
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
-            self.end_order(key, OrderEnd::Moved);
-        }
+        self.end_orders(untouched, &OrderEnd::Moved);
     }
 
     /// What an order asks for.
@@ -343,6 +335,15 @@
         }
     }
 
+    /// Ends the orders that `ends` names.
+    pub(super) fn end_orders(&mut self, ends: impl Fn(&Order) -> bool, end: &OrderEnd) {
+        let ended = self.orders.iter().filter(|(_, order)| ends(order));
+        let keys: Vec<OrderKey> = ended.map(|(key, _)| key).collect();
+        for key in keys {
+            self.end_order(key, end.clone());
+        }
+    }
+
     fn requeue(&mut self, call: &Call, tried: bool) {
         // An overdue call was put back when it became overdue.
         if call.overdue {
--- a/crates/barleyspool_core/src/forward/target_counts.rs
+++ b/crates/barleyspool_core/src/forward/target_counts.rs
@@ -21,13 +21,18 @@
 impl TargetCounts {
     /// The counts of a list.
     pub fn of(table: &TargetTable) -> Self {
-        let count = |is: fn(&TargetEntry) -> bool| table.values().filter(|entry| is(entry)).count();
-        Self {
-            listed: count(|entry| !entry.unreadable),
-            leaving: count(|entry| entry.leaving),
-            evacuated: count(|entry| entry.evacuated),
-            unreadable: count(|entry| entry.unreadable),
-            restarted: count(|entry| entry.times.restarted > Time(0)),
+        let mut counts = Self::default();
+        for entry in table.values() {
+            counts.add(entry);
         }
+        counts
+    }
+
+    fn add(&mut self, entry: &TargetEntry) {
+        self.listed += usize::from(!entry.unreadable);
+        self.leaving += usize::from(entry.leaving);
+        self.evacuated += usize::from(entry.evacuated);
+        self.unreadable += usize::from(entry.unreadable);
+        self.restarted += usize::from(entry.times.restarted > Time(0));
     }
 }
--- a/crates/barleyspool_core/tests/cold_targets.rs
+++ b/crates/barleyspool_core/tests/cold_targets.rs
@@ -185,46 +185,46 @@
     }
 }
 
-#[test]
-fn a_cold_engine_gets_no_more_than_it_bears_with_one_owner_or_two() {
+/// The fleet after a burst of calls that `call` sends.
+fn after_burst(count: usize, parts: usize, limited: bool, call: fn(&mut Fleet, Time, u64)) -> Fleet {
+    let mut fleet = Fleet::new(count, parts, limited, COLD);
+    burst(|now, number| call(&mut fleet, now, number));
+    fleet
+}
+
+/// A burst before fleets of several sizes, whole and cut in two.
+fn after_bursts(call: fn(&mut Fleet, Time, u64), check: fn(&Fleet)) {
     for count in [9, 89, 295, 410] {
         for parts in [1, 2] {
-            let mut fleet = Fleet::new(count, parts, true, COLD);
-            burst(|now, number| fleet.engine_call(now, number));
+            let fleet = after_burst(count, parts, true, call);
             assert!(
                 fleet.most() <= MOST,
                 "{count} nodes, {parts} parts: {}",
                 fleet.most()
             );
-            assert_eq!(fleet.sent.len(), ENGINES, "each gets some");
+            check(&fleet);
         }
     }
 }
 
 #[test]
-fn without_the_limit_the_same_burst_throws_them_over() {
-    let mut fleet = Fleet::new(89, 1, false, COLD);
-    burst(|now, number| fleet.engine_call(now, number));
-    assert!(fleet.most() > MOST, "{}", fleet.most());
-    let mut fleet = Fleet::new(89, 1, false, COLD);
-    burst(|now, number| fleet.plain_call(now, number));
-    assert!(fleet.most() > MOST, "{}", fleet.most());
+fn a_cold_engine_gets_no_more_than_it_bears_with_one_owner_or_two() {
+    after_bursts(Fleet::engine_call, |fleet| {
+        assert_eq!(fleet.sent.len(), ENGINES, "each gets some");
+    });
 }
 
 /// Nobody chooses plain targets for others, so a few nodes each may use a cold one.
 #[test]
 fn a_cold_plain_target_gets_no_more_than_it_bears_however_many_nodes_there_are() {
-    for count in [9, 89, 295, 410] {
-        for parts in [1, 2] {
-            let mut fleet = Fleet::new(count, parts, true, COLD);
-            burst(|now, number| fleet.plain_call(now, number));
-            assert!(
-                fleet.most() <= MOST,
-                "{count} nodes, {parts} parts: {}",
-                fleet.most()
-            );
-            assert!(fleet.refused > 0);
-        }
+    after_bursts(Fleet::plain_call, |fleet| assert!(fleet.refused > 0));
+}
+
+#[test]
+fn without_the_limit_the_same_burst_throws_them_over() {
+    for call in [Fleet::engine_call, Fleet::plain_call] {
+        let fleet = after_burst(89, 1, false, call);
+        assert!(fleet.most() > MOST, "{}", fleet.most());
     }
 }
 
--- a/crates/barleyspool_core/tests/forward_pieces.rs
+++ b/crates/barleyspool_core/tests/forward_pieces.rs
@@ -2,10 +2,13 @@
 
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
+mod pool_calls;
+
 use barleyspool_core::{
-    CallOutcome, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec,
-    Span, TargetEntry, TargetTable, Time,
+    CallOutcome, OrderEnd, OrderKey, PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Span,
+    TargetEntry, TargetTable, Time,
 };
+use pool_calls::made;
 
 const BATCH: u32 = 8;
 
@@ -60,16 +63,6 @@
     queue.submit(now, order).expect("there is room")
 }
 
-fn made(call: &PieceCall) -> CallOutcome {
-    let handle = |ask: &PieceAsk| {
-        PieceOutcome::Made(format!(
-            "{}/{}-{}-{:?}",
-            call.address, ask.request, ask.piece, call.call
-        ))
-    };
-    CallOutcome::Done(call.asks.iter().map(handle).collect())
-}
-
 #[test]
 fn pieces_of_several_requests_share_a_call() {
     let mut queue = queue(1);
--- a/crates/barleyspool_core/tests/target_lives.rs
+++ b/crates/barleyspool_core/tests/target_lives.rs
@@ -2,11 +2,14 @@
 
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
+mod pool_calls;
+
 use barleyspool_core::{
-    CallOutcome, Choose, Evacuations, ForwardPlan, ForwardSettings, Forwarder, Need, OrderEnd, PieceAsk,
-    PieceCall, PieceOrder, PieceOutcome, PieceQueue, PoolSpec, Revision, SendEnd, Span, TargetChange,
-    TargetEntry, TargetRun, TargetStore, TargetTable, Time, service_targets,
+    CallOutcome, Choose, Evacuations, ForwardPlan, ForwardSettings, Forwarder, Need, OrderEnd, PieceOrder,
+    PieceQueue, PoolSpec, Revision, SendEnd, Span, TargetChange, TargetEntry, TargetRun, TargetStore,
+    TargetTable, Time, service_targets,
 };
+use pool_calls::made;
 use quickcheck::quickcheck;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -311,16 +314,6 @@
     }
 }
 
-fn made(call: &PieceCall) -> CallOutcome {
-    let handle = |ask: &PieceAsk| {
-        PieceOutcome::Made(format!(
-            "{}/{}-{}-{:?}",
-            call.address, ask.request, ask.piece, call.call
-        ))
-    };
-    CallOutcome::Done(call.asks.iter().map(handle).collect())
-}
-
 fn queue(store: &TargetStore) -> PieceQueue {
     let mut queue = PieceQueue::new(spec());
     queue.take_plan(&spec(), None, &store.table, |_| true);
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -94,9 +94,6 @@
         let plan = self.shared.plan.load_full();
         self.forwarder.borrow_mut().take_plan(&plan);
         self.pools.take_plan(&plan);
-        for (_, pool) in self.pools.all() {
-            pool.tell_ended();
-        }
         if let Some(catalog) = &plan.catalog {
             self.pace.borrow_mut().retain(|route| catalog.has_route(route));
         }
