Nodes take their first list of targets from each other

Cause: each node read the whole list at the source, 13 pages, so that calls and bytes of a start were nodes times targets. Ruled out: membership (all 585 known after 0.62 s), configuration (0.02 to 0.45 s), processor time (2.3% of a core at most). Now the seeds read it, all others take it packed from a node that has it, a few at a time for each link; readers, too, are nodes with strong links. The settings say how strong a node's link is. A node that is alone or became a reader watches from the revision at which it has the list.

--- a/crates/barleyspool_core/src/forward/feed_cursor.rs
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -33,6 +33,7 @@
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub struct FeedCursor {
     since: Option<Revision>,
+    /// Failures in a row.
     failures: u32,
 }
 
@@ -57,6 +58,12 @@
         self.since = None;
     }
 
+    /// Goes on from what another node has told, if that stands at a revision that is known; otherwise everything has to be read. After a failure
+    /// of this node's own too: what lapsed at the source meanwhile can only be seen by a whole read.
+    pub fn resume(&mut self, held: Option<Revision>) {
+        self.since = held.filter(|_| self.failures == 0);
+    }
+
     /// The question failed; returns the longest wait before the next. A watch that broke may have missed
     /// changes that a new one does not tell, so everything is read again.
     pub fn failed(&mut self) -> Span {
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -14,9 +14,12 @@
 mod choice;
 mod evacuations;
 mod feed_cursor;
+mod first_list;
 mod forwarder;
 mod kept_results;
+mod list_holder;
 mod need;
+mod packed_list;
 mod piece_order;
 mod piece_pick;
 mod piece_plan;
@@ -51,9 +54,12 @@
 pub use catalog_store::{CatalogStore, Offered};
 pub use evacuations::Evacuations;
 pub use feed_cursor::{FeedCursor, FeedStep, WATCH_MARGIN, poll_wait};
+pub use first_list::{FirstList, FleetView};
 pub use forwarder::{ForwardSettings, Forwarder, SendKey};
 pub use kept_results::handle_address;
+pub use list_holder::{HandoutKey, ListHandout, ListHolder, choose_holder};
 pub use need::{Choose, Chosen, Need, Shard, shard_key};
+pub use packed_list::{PackedList, UnpackError};
 pub use piece_order::{
     CallKey, CallOutcome, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome,
 };
--- a/crates/barleyspool_core/src/forward/source_role.rs
+++ b/crates/barleyspool_core/src/forward/source_role.rs
@@ -12,6 +12,9 @@
 /// How many do at the most, while those before them cannot reach the source. An outage of the source fails for all of them,
 /// and each call has a price.
 const MOST_READERS: usize = 4;
+/// Nodes with a link of this many Mbit/s read before others: a whole list of 6,000 targets is 2.2 MB at the source, 0.2 s on such a link and 0.9 s on one
+/// of 20 Mbit/s.
+const READER_MBPS: u32 = 100;
 /// How many of the readers of all zones watch the feeds for a short time only. A watch that reached the source in the moment
 /// in which it fell silent never answers, which looks like a feed without changes; nodes that arm their watches together
 /// lose them together (docs/incidents, 7). Two, so that one of them may be cut off; more cost calls and find
@@ -33,6 +36,8 @@
     pub zone: &'a str,
     /// Whether the source does not answer it.
     pub failing: bool,
+    /// Its link, in Mbit/s.
+    pub link_mbps: u32,
 }
 
 /// What a node does at the source.
@@ -73,7 +78,10 @@
     }
     let mut readers = Vec::new();
     for mut zone in zones.into_values() {
-        zone.sort_by_key(|member| rendezvous::place(READER_KEY, member.key));
+        zone.sort_by_key(|member| {
+            let weak = member.link_mbps < READER_MBPS;
+            (weak, rendezvous::place(READER_KEY, member.key))
+        });
         let mut answering = 0;
         for member in zone.into_iter().take(MOST_READERS) {
             if answering == READERS {
--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -96,6 +96,11 @@
         self.role.reads || now >= self.alone_at
     }
 
+    /// The nodes that are known, this one among them.
+    pub fn nodes(&self) -> usize {
+        self.nodes
+    }
+
     /// When a node that does not read the source looks again whether it should.
     pub fn look_at(&self) -> Time {
         self.alone_at
@@ -131,9 +136,11 @@
 
     /// Another node told how far it is.
     pub fn told(&mut self, now: Time, told: SourceState, held: Held) {
-        if self.ahead.is_none() && held.is_behind(told) {
-            self.ahead = Some((now, told));
+        if !held.is_behind(told) {
+            return;
         }
+        let (since, before) = self.ahead.unwrap_or((now, told));
+        self.ahead = Some((since, before.newest(told)));
     }
 
     /// Whether this node should ask another one for what is newer there. One that watches the source itself gives its
@@ -146,7 +153,8 @@
             self.ahead = None;
             return false;
         }
-        let watches = self.reads(now) && !failing;
+        // Who has no list at all does not wait for its own reading of it.
+        let watches = self.reads(now) && !failing && held.list != Revision(0);
         !watches || now.since(since) >= OWN_WATCH
     }
 }
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -98,7 +98,8 @@
                 self.remember(now, entry);
             }
         }
-        let changed = *before != table;
+        // The first list is told to others also when it is empty.
+        let changed = first || *before != table;
         self.table = Arc::new(table);
         self.changed(changed)
     }
--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -117,6 +117,11 @@
 
     /// Tells another node some of what it does not know, or that there is nothing.
     pub(super) fn share(&mut self, now: Time, to: &str, known: &[u32]) {
+        // Before any other work: when a fleet starts, a seed gets thousands of questions a second.
+        let told = self.told_lately(now);
+        if told >= PARTS_MOST {
+            return;
+        }
         let known: HashSet<u32> = known.iter().copied().collect();
         let mut missing: Vec<MemberNews> = self
             .members
@@ -131,10 +136,6 @@
         let nothing = [Vec::new()];
         let parts: Vec<Vec<MemberNews>> = missing.chunks(most_news).map(<[_]>::to_vec).collect();
         let parts = if parts.is_empty() { &nothing[..] } else { &parts };
-        let told = self.told_lately(now);
-        if told >= PARTS_MOST {
-            return;
-        }
         let busy = told >= PARTS_AT_ONCE;
         let (most, names) = if busy { (1, FEW) } else { (MOST_PARTS, most_news) };
         for part in parts.iter().take(most) {
--- a/crates/barleyspool_core/src/membership/member.rs
+++ b/crates/barleyspool_core/src/membership/member.rs
@@ -41,6 +41,8 @@
     pub zone: String,
     /// Whether it takes calls.
     pub serving: bool,
+    /// Its link, in Mbit/s: nodes with a strong one read the source for others.
+    pub link_mbps: u32,
 }
 
 /// How far a node has read the source.
@@ -60,6 +62,18 @@
     pub failing: bool,
 }
 
+impl SourceState {
+    /// How far both together have read.
+    pub fn newest(self, other: Self) -> Self {
+        Self {
+            version: self.version.max(other.version),
+            list: self.list.max(other.list),
+            evacuations: self.evacuations.max(other.evacuations),
+            failing: self.failing && other.failing,
+        }
+    }
+}
+
 /// One node as another knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Member {
--- a/crates/barleyspool_core/tests/membership/net.rs
+++ b/crates/barleyspool_core/tests/membership/net.rs
@@ -49,22 +49,27 @@
     }
 
     pub fn start_in(&mut self, zone: &str, name: &str, incarnation: u64, seeds: &[&str]) {
+        self.start_linked(zone, name, incarnation, seeds, 0);
+        self.step(name, MemberEvent::Serving(true));
+    }
+
+    /// Starts a node with a link of so many Mbit/s, which does not serve yet.
+    pub fn start_linked(&mut self, zone: &str, name: &str, incarnation: u64, seeds: &[&str], link_mbps: u32) {
         let facts = MemberFacts {
             address: name.to_owned(),
             callers: format!("{name}-callers"),
             zone: zone.to_owned(),
+            link_mbps,
             ..MemberFacts::default()
         };
-        let mut node = Membership::new(MembershipSettings {
+        let node = Membership::new(MembershipSettings {
             facts,
             incarnation: Incarnation(incarnation),
             seeds: seeds.iter().map(|seed| (*seed).to_owned()).collect(),
             seed: self.random.random(),
             ..MembershipSettings::default()
         });
-        let actions = node.step(self.now, MemberEvent::Serving(true));
         self.nodes.insert(name.to_owned(), node);
-        self.send(name, actions);
     }
 
     pub fn send(&mut self, from: &str, actions: Vec<MemberAction>) {
--- a/crates/barleyspool_core/tests/source_reading/fleet.rs
+++ b/crates/barleyspool_core/tests/source_reading/fleet.rs
@@ -234,12 +234,14 @@
             key: member.key as u64,
             zone: &member.facts.zone,
             failing: member.source.failing,
+            link_mbps: member.facts.link_mbps,
         });
         let me = ReaderCandidate {
             address: name,
             key: key(name),
             zone: node.zone,
             failing: node.failing,
+            link_mbps: 0,
         };
         let members: Vec<ReaderCandidate> = others.chain([me]).collect();
         let role = source_role(&members, me.key);
--- a/crates/barleyspool_core/tests/source_reading/roles.rs
+++ b/crates/barleyspool_core/tests/source_reading/roles.rs
@@ -10,6 +10,7 @@
         key,
         zone: ZONES[key as usize % ZONES.len()],
         failing: false,
+        link_mbps: 0,
     };
     (1..=count).map(node).collect()
 }
--- a/crates/barleyspool_gateway/src/control/directory.rs
+++ b/crates/barleyspool_gateway/src/control/directory.rs
@@ -19,7 +19,7 @@
 
 /// Serves one of the two ports until the process ends.
 pub async fn serve(state: Rc<ControlState>, edge: Rc<DirectoryEdge>, listener: TcpListener) {
-    http_port::serve(listener, move |request| answer(&state, &edge, request)).await;
+    http_port::serve(listener, move |request| answer(&state, &edge, request).into()).await;
 }
 
 fn answer(state: &ControlState, edge: &DirectoryEdge, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -22,7 +22,7 @@
     let mut cursor = FeedCursor::default();
     loop {
         if state.until_reading(feed).await {
-            cursor.start_over();
+            cursor.resume(state.held_at(feed));
         }
         let result = match cursor.next_step() {
             FeedStep::Read => read_whole(&state, &source, feed).await,
@@ -39,7 +39,8 @@
                     tokio::time::sleep(GATHER).await;
                 }
             }
-            Err(SourceError::HistoryGone | SourceError::Overtaken) => cursor.start_over(),
+            Err(SourceError::HistoryGone) => cursor.start_over(),
+            Err(SourceError::Overtaken) => cursor.resume(state.held_at(feed)),
             Err(error) => {
                 state.feed_result(feed, Some(&error.to_string()));
                 let longest = state.reading.retry_wait(cursor.failed());
@@ -62,7 +63,12 @@
     let mut from = None;
     let mut whole = Whole::default();
     let mut first_at = None;
+    let was_missing = state.reading.is_missing(feed);
     loop {
+        if was_missing && !state.reading.is_missing(feed) {
+            // Another node's list came meanwhile.
+            return Err(SourceError::Overtaken);
+        }
         state.shared.count_source_call();
         let page = timed(READ, source.read(feed, from)).await?;
         // Pages are no snapshot: what changes while they are read is told by the watch from the first one on.
@@ -132,7 +138,7 @@
     feed: Feed,
     since: Revision,
 ) -> Result<Revision, SourceError> {
-    let wait = poll_wait(state.reading.is_short_poller());
+    let wait = poll_wait(state.reading.watches_briefly());
     let limit = Duration::from_micros((wait + WATCH_MARGIN).0);
     state.shared.count_source_call();
     let changes = timed(limit, source.watch(feed, since, wait)).await?;
--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -4,14 +4,13 @@
 use super::state::{ControlState, Origin};
 use crate::edges::Feed;
 use crate::event_log::Line;
-use barleyspool_core::{Member, MemberHealth, Span, Time};
+use barleyspool_core::{ListHolder, Member, MemberHealth, PackedList, Revision, Span, Time, choose_holder};
 use barleyspool_wire::net;
 use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use rand::seq::IteratorRandom;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,12 +29,17 @@
 /// The largest answer, in bytes.
 const MOST_BYTES: usize = 16 << 20;
 
-/// Nodes that did not answer, and until when they are not asked.
-type Down = HashMap<SocketAddr, Time>;
+/// How long a node that was busy handing out lists is not asked again while another one can be: a list takes some 0.1 s on a weak link.
+const BUSY_FOR: Span = Span::from_millis(100);
+/// The least time between two questions while this node has no list and those that have one are busy.
+const GATHER_BUSY: Duration = Duration::from_millis(20);
+
+/// Nodes that did not answer or were busy, and until when others are asked before them.
+type Avoided = HashMap<SocketAddr, Time>;
 
 /// Asks another node whenever one has something newer, and tells others now and then how far this one is.
 pub async fn run(state: Rc<ControlState>) {
-    let mut down = Down::new();
+    let mut avoided = Avoided::new();
     loop {
         state.reading.until_told(LOOK_EVERY).await;
         state.expire_targets();
@@ -44,12 +48,18 @@
         if !state.asks() {
             continue;
         }
-        let Some(peer) = peer_to_ask(&state, &down) else {
+        let Some(peer) = peer_to_ask(&state, &avoided) else {
             continue;
         };
+        avoided.retain(|_, until| state.now() < *until);
+        let mut gather = GATHER;
         match ask(&state, &peer).await {
             Ok(known) => {
                 state.shared.count_asked(true);
+                if matches!(known.targets, Part::Busy) {
+                    avoided.insert(peer, state.now() + BUSY_FOR);
+                    gather = GATHER_BUSY;
+                }
                 take(&state, known, &peer);
             }
             Err(failure) => {
@@ -59,17 +69,15 @@
                     cause: &failure.to_string(),
                 };
                 state.log.write(state.now(), &line);
-                down.retain(|_, until| state.now() < *until);
-                down.insert(peer, state.now() + DOWN_FOR);
+                avoided.insert(peer, state.now() + DOWN_FOR);
             }
         }
-        tokio::time::sleep(GATHER).await;
+        tokio::time::sleep(gather).await;
     }
 }
 
-/// The relay address of the node to ask now, if any: one that has something newer, of this zone when there is one, since
-/// bytes between zones cost.
-fn peer_to_ask(state: &ControlState, down: &Down) -> Option<SocketAddr> {
+/// The relay address of the node to ask now, if any has something newer.
+fn peer_to_ask(state: &ControlState, avoided: &Avoided) -> Option<SocketAddr> {
     let held = state.held();
     let zone = &state.shared.settings.zone;
     let membership = state.membership.borrow();
@@ -77,22 +85,23 @@
         let up = matches!(member.health, MemberHealth::Alive | MemberHealth::Leaving);
         up && held.is_behind(member.source)
     };
-    let relay = |member: &Member| {
+    let holder = |member: &Member| {
         let address: SocketAddr = member.facts.address.parse().ok()?;
         // All nodes use the same ports.
         let relay = SocketAddr::new(address.ip(), state.shared.settings.relay.port());
-        let is_down = down.get(&relay).is_some_and(|until| state.now() < *until);
-        let far = member.facts.zone != *zone;
-        Some(((is_down, far), relay))
+        Some(ListHolder {
+            address: relay,
+            avoided: avoided.get(&relay).is_some_and(|until| state.now() < *until),
+            far: member.facts.zone != *zone,
+            link_mbps: member.facts.link_mbps,
+        })
     };
-    let candidates: Vec<_> = membership.members().filter(answers).filter_map(relay).collect();
-    let best = candidates.iter().map(|(rank, _)| *rank).min()?;
-    let of_best = candidates.iter().filter(|(rank, _)| *rank == best);
-    of_best.map(|(_, relay)| *relay).choose(&mut rand::rng())
+    let holders = membership.members().filter(answers).filter_map(holder);
+    choose_holder(holders, &mut rand::rng())
 }
 
-/// Whether a whole configuration or list is to come from another node. Differences do, but the source is better fit for
-/// whole ones while it answers: after a start of all they would crowd the links of a few small nodes.
+/// Whether a whole configuration is to come from another node. Differences do; the whole is one call and some ten KB at the source, which
+/// is better fit for it while it answers.
 fn wants_whole(state: &ControlState) -> bool {
     [Feed::Configuration, Feed::Targets]
         .iter()
@@ -129,7 +138,7 @@
         Part::Same => false,
         Part::Changes(changes) => state.offer_changes(changes, from),
         Part::Whole(document) => state.offer(document, from),
-        Part::Unknown => {
+        Part::Unknown | Part::Busy => {
             state.reading.read_again(Feed::Configuration);
             false
         }
@@ -143,17 +152,30 @@
     let changed = match known.targets {
         Part::Same => false,
         Part::Changes(changes) => state.apply_targets(at, changes, from),
-        Part::Whole(table) => {
+        Part::Whole(list) => take_list(state, at, list, from),
+        // Asked again, or another node.
+        Part::Unknown | Part::Busy => false,
+    };
+    if changed {
+        state.overtaken(Feed::Targets);
+    }
+}
+
+/// Takes a whole list. Returns whether it is another one than before.
+fn take_list(state: &ControlState, at: Revision, list: PackedList, from: Origin) -> bool {
+    match list.unpack() {
+        Ok(table) => {
             state.reading.has_read(Feed::Targets);
             state.replace_targets(at, table, from)
         }
-        Part::Unknown => {
-            state.reading.read_again(Feed::Targets);
+        Err(cause) => {
+            let line = Line::AskFailed {
+                peer: from.name(),
+                cause: &cause.to_string(),
+            };
+            state.log.write(state.now(), &line);
             false
         }
-    };
-    if changed {
-        state.overtaken(Feed::Targets);
     }
 }
 
--- a/crates/barleyspool_gateway/src/control/http_port.rs
+++ b/crates/barleyspool_gateway/src/control/http_port.rs
@@ -7,6 +7,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,11 +19,25 @@
 /// The pause after a connection that could not be accepted, for want of descriptors for example.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// An answer, and what is done when its connection ends.
+pub struct PortAnswer {
+    /// The answer.
+    pub response: Response<Full<Bytes>>,
+    /// Called when the caller has closed the connection, as it does once it has the whole answer.
+    pub closed: Option<Box<dyn FnOnce()>>,
+}
+
+impl From<Response<Full<Bytes>>> for PortAnswer {
+    fn from(response: Response<Full<Bytes>>) -> Self {
+        Self {
+            response,
+            closed: None,
+        }
+    }
+}
+
 /// Answers requests until the process ends.
-pub async fn serve(
-    listener: TcpListener,
-    answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>> + 'static,
-) {
+pub async fn serve(listener: TcpListener, answer: impl Fn(&Request<Incoming>) -> PortAnswer + 'static) {
     let answer = Rc::new(answer);
     loop {
         let Ok(stream) = net::accept(&listener).await else {
@@ -31,8 +46,10 @@
         };
         let answer = Rc::clone(&answer);
         spawn_local(async move {
+            let at_end = RefCell::new(Vec::new());
             let service = service_fn(|request| {
-                let response = answer(&request);
+                let PortAnswer { response, closed } = answer(&request);
+                at_end.borrow_mut().extend(closed);
                 async { Ok::<_, Infallible>(response) }
             });
             // A caller that goes away in the middle is no matter of ours.
@@ -41,6 +58,7 @@
                 .header_read_timeout(IDLE)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
+            at_end.into_inner().into_iter().for_each(|closed| closed());
         });
     }
 }
--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -4,8 +4,8 @@
 use crate::edges::Feed;
 use crate::event_log::Line;
 use barleyspool_core::{
-    Held, MemberEvent, MemberHealth, ReaderCandidate, SourceState, SourceWatch, Span, Time, rendezvous,
-    source_audience, source_role,
+    FirstList, FleetView, Held, Member, MemberEvent, MemberHealth, ReaderCandidate, Revision, SourceState,
+    SourceWatch, Span, Time, rendezvous, source_audience, source_role,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::atomic::Ordering;
@@ -22,8 +22,12 @@
     watch: RefCell<SourceWatch>,
     /// Whom this node tells what it reads.
     audience: RefCell<Vec<String>>,
-    /// Feeds that have to be read whole, whoever reads the source else.
+    /// Feeds that have to be read whole.
     missing: [Cell<bool>; 2],
+    /// When a node without a list reads it although others may have it.
+    first_list: FirstList,
+    /// What this node knows of the fleet, for that.
+    fleet: Cell<FleetView>,
     /// Since when each feed has failed, and why it did last; `None` while it answers.
     failing: RefCell<[Option<(Time, String)>; 2]>,
     /// Whether the members are likely to be all there are; before that no node watches the source.
@@ -45,6 +49,8 @@
             watch: RefCell::new(SourceWatch::new(now, rand::random())),
             audience: RefCell::default(),
             missing: [Cell::new(true), Cell::new(true)],
+            first_list: FirstList::new(now, rand::random()),
+            fleet: Cell::default(),
             failing: RefCell::default(),
             settled: Cell::new(false),
             announced: Cell::default(),
@@ -54,9 +60,11 @@
         }
     }
 
-    /// Whether this node watches the feeds for a short time only.
-    pub fn is_short_poller(&self) -> bool {
-        self.watch.borrow().is_short_poller()
+    /// Whether this node watches the feeds for a short time only: as one of the few that find out whether watches are lost, or because no other
+    /// node would tell it what a lost watch does not.
+    pub fn watches_briefly(&self) -> bool {
+        let watch = self.watch.borrow();
+        watch.is_short_poller() || !watch.is_reader()
     }
 
     /// Waits until the watch of a feed may hear nothing any more, or should be a shorter one.
@@ -83,6 +91,11 @@
         self.changed.send_replace(());
     }
 
+    /// Whether nothing of a feed is known yet.
+    pub fn is_missing(&self, feed: Feed) -> bool {
+        self.missing[feed as usize].get()
+    }
+
     /// The feed was read whole, at the source or at another node.
     pub fn has_read(&self, feed: Feed) {
         self.missing[feed as usize].set(false);
@@ -105,11 +118,24 @@
     /// Whether a feed reads the source now.
     fn wants(&self, now: Time, feed: Feed) -> bool {
         let watch = self.watch.borrow();
-        if !watch.is_reader() && watch.reads(now) {
-            // Nobody tells this node anything.
-            self.missing.iter().for_each(|missing| missing.set(true));
+        let alone = !watch.is_reader() && watch.reads(now);
+        let reader = watch.is_reader() && self.settled.get();
+        alone || reader || self.wants_whole(now, feed)
+    }
+
+    /// Whether a feed reads the source now because this node has nothing of it.
+    fn wants_whole(&self, now: Time, feed: Feed) -> bool {
+        let missing = self.missing[feed as usize].get();
+        missing && (feed == Feed::Configuration || self.first_list.reads(now, self.fleet.get()))
+    }
+
+    /// When a feed that does not read the source looks again whether it should.
+    fn look_at(&self, now: Time, feed: Feed) -> Time {
+        let alone_at = self.watch.borrow().look_at();
+        if feed == Feed::Targets && self.missing[feed as usize].get() {
+            return alone_at.min(self.first_list.look_at(now, self.fleet.get()));
         }
-        self.missing[feed as usize].get() || (watch.is_reader() && self.settled.get())
+        alone_at
     }
 }
 
@@ -122,7 +148,7 @@
             waited = true;
             // Whether the source would answer this node is not known any more.
             self.reading.failing.borrow_mut()[feed as usize] = None;
-            let look_at = self.reading.watch.borrow().look_at();
+            let look_at = self.reading.look_at(self.now(), feed);
             let look = Duration::from_micros(look_at.since(self.now()).0.max(1000));
             tokio::select! {
                 // The sender lives as long as this state.
@@ -198,7 +224,7 @@
     // What this node tells
 
     /// How far this node has read the source.
-    fn source_state(&self) -> SourceState {
+    pub(super) fn source_state(&self) -> SourceState {
         SourceState {
             version: self.catalogs.borrow().version(),
             list: self.targets.borrow().changed_at,
@@ -207,6 +233,13 @@
         }
     }
 
+    /// From which revision on a watch of a feed tells all that this node has not; `None` when the feed has to be read whole. The configuration
+    /// is one call, so it is read again.
+    pub fn held_at(&self, feed: Feed) -> Option<Revision> {
+        let known = feed == Feed::Targets && self.targets_known.get();
+        known.then(|| self.targets.borrow().at)
+    }
+
     /// What this node has, for questions to others.
     pub fn held(&self) -> Held {
         Held {
@@ -278,6 +311,7 @@
             key: member.key as u64,
             zone: &member.facts.zone,
             failing: member.source.failing,
+            link_mbps: member.facts.link_mbps,
         });
         let own = settings.members.to_string();
         // A node on its way out hears of changes from those that stay.
@@ -286,11 +320,20 @@
             key: me,
             zone: &settings.zone,
             failing: self.reading.any_failing(),
+            link_mbps: settings.link(),
         });
         let members: Vec<ReaderCandidate> = others.chain(this).collect();
         let role = source_role(&members, me);
         *self.reading.audience.borrow_mut() = source_audience(&members, &settings.zone, me);
-        let before_short = self.reading.is_short_poller();
+        let has_list =
+            |member: &Member| member.health != MemberHealth::Dead && member.source.list != Revision(0);
+        self.reading.fleet.set(FleetView {
+            nodes: members.len(),
+            seed: settings.is_seed(),
+            reader: role.reads,
+            holder: membership.members().any(has_list),
+        });
+        let before_short = self.reading.watch.borrow().is_short_poller();
         let changed = self.reading.watch.borrow_mut().take_role(role, members.len());
         let settled = self.settled.get();
         let was_settled = self.reading.settled.replace(settled);
@@ -298,6 +341,9 @@
             // The long watches of before end.
             FEEDS.iter().for_each(|feed| self.reading.end_watch(*feed));
         }
+        if self.reading.missing[Feed::Targets as usize].get() {
+            self.reading.changed.send_replace(());
+        }
         if !changed && settled == was_settled {
             return;
         }
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -1,10 +1,11 @@
 //! Telling other nodes what the source told this one; and metrics.
 
-use super::http_port;
+use super::http_port::{self, PortAnswer};
 use super::state::ControlState;
 use crate::metrics::Metrics;
 use barleyspool_core::{
-    CatalogChange, CatalogDocument, Evacuations, Held, Lapsing, Revision, TargetChange, TargetTable,
+    CatalogChange, CatalogDocument, Evacuations, HandoutKey, Held, Lapsing, PackedList, Revision,
+    TargetChange,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -28,8 +29,10 @@
     Changes(Vec<C>),
     /// The whole.
     Whole(W),
-    /// What has changed since is not known any more.
+    /// What has changed since is not known any more, and the whole was not asked for.
     Unknown,
+    /// What has changed since is not known any more, and as many others as this node's link bears are taking the whole.
+    Busy,
 }
 
 /// What one node knows, for another.
@@ -42,12 +45,12 @@
     /// The revision of the list of targets.
     pub at: Revision,
     /// The list.
-    pub targets: Part<TargetTable, TargetChange>,
+    pub targets: Part<PackedList, TargetChange>,
     /// Entries of the list that are missing at the source and may come back.
     pub lapsing: Lapsing,
 }
 
-/// The question for what is newer than `held`; `whole` when differences are of no use without it.
+/// The question for what is newer than `held`; `whole` when the configuration may come as a whole.
 pub fn known_query(held: Held, whole: bool) -> String {
     format!("{KNOWN_PATH}?{},{},{}", held.version, held.list, u8::from(whole))
 }
@@ -57,10 +60,11 @@
     http_port::serve(listener, move |request| answer(&state, &metrics, request)).await;
 }
 
-fn answer(state: &ControlState, metrics: &Metrics, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn answer(state: &Rc<ControlState>, metrics: &Metrics, request: &Request<Incoming>) -> PortAnswer {
+    let mut handed_out = None;
     let body = match request.uri().path() {
         METRICS_PATH => metrics.text(),
-        KNOWN_PATH => known(state, request.uri().query().unwrap_or_default()),
+        KNOWN_PATH => known(state, request.uri().query().unwrap_or_default(), &mut handed_out),
         _ => Vec::new(),
     };
     let found = !body.is_empty();
@@ -68,11 +72,14 @@
     if !found {
         *response.status_mut() = StatusCode::NOT_FOUND;
     }
-    response
+    let state = Rc::clone(state);
+    let closed =
+        handed_out.map(|key| Box::new(move || state.handout.borrow_mut().taken(key)) as Box<dyn FnOnce()>);
+    PortAnswer { response, closed }
 }
 
-/// What this node knows beyond what the query names; see [`known_query`].
-fn known(state: &ControlState, query: &str) -> Vec<u8> {
+/// What this node knows beyond what the query names; see [`known_query`]. `handed_out` is set when that is a whole list.
+fn known(state: &ControlState, query: &str, handed_out: &mut Option<HandoutKey>) -> Vec<u8> {
     // What cannot be read counts as nothing known, and is answered with everything.
     let mut have = query.split(',').map(|text| text.parse().unwrap_or(0));
     let held = Held {
@@ -86,7 +93,7 @@
         configuration: configuration(state, held, whole),
         evacuations: state.evacuations.borrow().clone(),
         at: state.targets.borrow().at,
-        targets: targets(state, held, whole),
+        targets: targets(state, held, handed_out),
         lapsing: state.targets.borrow().lapsing(state.now()),
     };
     rmp_serde::to_vec(&known).unwrap_or_default()
@@ -106,14 +113,21 @@
     }
 }
 
-fn targets(state: &ControlState, held: Held, whole: bool) -> Part<TargetTable, TargetChange> {
+fn targets(
+    state: &ControlState,
+    held: Held,
+    handed_out: &mut Option<HandoutKey>,
+) -> Part<PackedList, TargetChange> {
     let targets = state.targets.borrow();
     if !state.targets_known.get() || targets.at <= held.list {
         return Part::Same;
     }
-    match targets.changes_since(held.list) {
-        Some(changes) => Part::Changes(changes),
-        None if whole => Part::Whole((*targets.table).clone()),
-        None => Part::Unknown,
+    if let Some(changes) = targets.changes_since(held.list) {
+        return Part::Changes(changes);
+    }
+    *handed_out = state.handout.borrow_mut().admit(state.now());
+    match handed_out {
+        Some(_) => Part::Whole(PackedList::pack(&targets.table)),
+        None => Part::Busy,
     }
 }
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -4,8 +4,8 @@
 use crate::event_log::{EventLog, Line};
 use crate::shared::Shared;
 use barleyspool_core::{
-    CatalogStore, Evacuations, Evidence, ForwardPlan, Incarnation, MemberAction, MemberEvent, MemberFacts,
-    MemberHealth, MemberView, Membership, MembershipSettings, TargetStore, Time, rendezvous,
+    CatalogStore, Evacuations, Evidence, ForwardPlan, Incarnation, ListHandout, MemberAction, MemberEvent,
+    MemberFacts, MemberHealth, MemberView, Membership, MembershipSettings, TargetStore, Time, rendezvous,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -62,6 +62,8 @@
     members_changed: Notify,
     /// What this node does at the source.
     pub reading: Reading,
+    /// Whole lists that other nodes are taking from this one.
+    pub handout: RefCell<ListHandout>,
     /// Whether the nodes that are known are likely to be all there are.
     pub settled: Cell<bool>,
     /// When the last answers of a planned stop are given; `None` while no stop was asked for.
@@ -81,6 +83,7 @@
                 peers: settings.pieces.to_string(),
                 zone: settings.zone.clone(),
                 serving: false,
+                link_mbps: settings.link(),
             },
             incarnation: Incarnation(shared.clock.started().0),
             seeds: seeds
@@ -90,6 +93,7 @@
             ..MembershipSettings::default()
         });
         let reading = Reading::new(shared.clock.now());
+        let handout = ListHandout::new(shared.settings.link());
         Self {
             shared,
             log,
@@ -102,6 +106,7 @@
             outbox_filled: Notify::new(),
             members_changed: Notify::new(),
             reading,
+            handout: RefCell::new(handout),
             settled: Cell::new(false),
             last_answers: Cell::new(None),
         }
@@ -131,6 +136,9 @@
         let actions = self.membership.borrow_mut().step(now, event);
         let settled = self.membership.borrow().settled(now);
         let mut changed = self.settled.replace(settled) != settled;
+        if changed && settled {
+            self.log_members(now);
+        }
         self.count_news();
         if actions.is_empty() && !changed {
             return;
@@ -152,6 +160,10 @@
                     evidence,
                 } => {
                     changed = true;
+                    if !settled && health == MemberHealth::Alive {
+                        // One line a node and member of a fleet that starts: `Line::Members` counts them.
+                        continue;
+                    }
                     let serving = self.membership.borrow().serving().len();
                     let line = Line::Member {
                         address: &address,
@@ -169,6 +181,15 @@
         }
     }
 
+    fn log_members(&self, now: Time) {
+        let membership = self.membership.borrow();
+        let line = Line::Members {
+            known: membership.members().count(),
+            serving: membership.serving().len(),
+        };
+        self.log.write(now, &line);
+    }
+
     /// Hands the calls that get no target to the traffic thread.
     fn publish_refused(&self, now: Time) {
         let refused = self.membership.borrow().crashes().refused(now);
@@ -203,6 +224,8 @@
 
     /// Hands everything to the traffic thread.
     pub fn publish(&self) {
+        // Before the others hear that this node serves, so that they hear with it what it has.
+        self.step_members(MemberEvent::Source(self.source_state()));
         self.step_members(MemberEvent::Serving(self.ready()));
         self.take_role();
         let plan = self.plan();
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -122,6 +122,13 @@
         /// What went wrong.
         cause: &'a str,
     },
+    /// This node takes the others that it knows for all there are, after a start.
+    Members {
+        /// The others that are known.
+        known: usize,
+        /// Nodes that take calls.
+        serving: usize,
+    },
     /// What is thought of another node changed.
     Member {
         /// Its address.
--- a/crates/barleyspool_gateway/src/settings.rs
+++ b/crates/barleyspool_gateway/src/settings.rs
@@ -99,6 +99,8 @@
     pub stop_end_ms: u64,
     /// The budget for sending calls again.
     pub retry: RetrySettings,
+    /// The node's link, in Mbit/s; at least 1. Nodes with a strong one read the source for others.
+    pub link_mbps: f64,
     /// The most bytes of bodies of calls and answers held at once, in megabytes; at least 1.
     pub body_memory_mb: u64,
     /// Whether callers send a call again under the same key. This gateway does not remember keys, so only
@@ -172,6 +174,12 @@
         must(fixed >= 0.0, "retry.fixed", fixed.to_string(), "0 or more")?;
         let window = self.retry.window_s;
         must(window > 0.0, "retry.window_s", window.to_string(), "above 0")?;
+        must(
+            self.link_mbps >= 1.0,
+            "link_mbps",
+            self.link_mbps.to_string(),
+            "1 or more",
+        )?;
         must(
             self.body_memory_mb >= 1,
             "body_memory_mb",
@@ -203,6 +211,16 @@
         Span::from_millis(self.address_keep_ms)
     }
 
+    /// Whether this node is one of its seeds, which others ask first.
+    pub fn is_seed(&self) -> bool {
+        self.seeds.iter().any(|seed| seed.ip() == self.members.ip())
+    }
+
+    /// The node's link, in whole Mbit/s.
+    pub fn link(&self) -> u32 {
+        self.link_mbps as u32
+    }
+
     /// The window of the retry budget.
     pub fn retry_window(&self) -> Span {
         Span((self.retry.window_s * 1e6) as u64)
