Calls that come before the list are held while they can still be in time

A caller that is turned away by a node without a list comes back to another that has just started too. Held for 0.7 of the route's aim, in the first two seconds of a process only; then refused as before. Callers keep addresses for 0.3 s while the node that names them is young, since it knows few that serve.

--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -39,6 +39,7 @@
 mod source_watch;
 mod stage_pace;
 mod stage_run;
+mod start_hold;
 mod target_counts;
 mod target_entry;
 mod target_log;
@@ -77,6 +78,7 @@
 pub use source_watch::{Held, SourceWatch};
 pub use stage_pace::StagePace;
 pub use stage_run::{ReadyStage, StageRun};
+pub use start_hold::hold_until;
 pub use target_counts::TargetCounts;
 pub use target_entry::{TargetEntry, TargetRun, TargetTable, TargetTimes};
 pub use target_record::{TargetKey, TargetRecord};
--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -23,6 +23,8 @@
     pub made: Time,
     /// The configuration in force; `None` before the first.
     pub catalog: Option<Arc<Catalog>>,
+    /// Whether the list of targets was ever taken whole.
+    pub listed: bool,
     /// Listed targets.
     pub targets: Arc<TargetTable>,
     /// The zone of each listed target, by its address; see [`ForwardPlan::zones_of`].
@@ -47,6 +49,11 @@
 }
 
 impl ForwardPlan {
+    /// Whether enough is known to serve calls.
+    pub fn is_complete(&self) -> bool {
+        self.listed && self.catalog.is_some()
+    }
+
     /// The zones of listed targets, by address. It is made once for each list, so that looking up the maker of a
     /// result costs the same however many targets there are.
     pub fn zones_of(targets: &TargetTable) -> HashMap<String, String> {
--- a/crates/barleyspool_core/tests/whole_lists.rs
+++ b/crates/barleyspool_core/tests/whole_lists.rs
@@ -5,7 +5,7 @@
 
 use barleyspool_core::{
     FirstList, FleetView, ListHandout, ListHolder, PackedList, Span, TargetEntry, TargetRun, TargetTable,
-    Time, choose_holder,
+    Time, choose_holder, hold_until,
 };
 use quickcheck::quickcheck;
 use rand::SeedableRng;
@@ -166,3 +166,19 @@
         assert!(first.reads(look_at, view(false, false, true)));
     }
 }
+
+// ----------------------------------------------------------------------------
+// Calls that come before the list
+
+#[test]
+fn a_call_is_held_for_most_of_its_aim_and_for_the_first_two_seconds_of_its_node() {
+    let aim = Some(Span::from_millis(1000));
+    assert_eq!(hold_until(START, at(500), aim), at(1200));
+    assert_eq!(
+        hold_until(START, at(500), None),
+        at(800),
+        "its route is not known"
+    );
+    assert_eq!(hold_until(START, at(1900), aim), at(2000));
+    assert!(hold_until(START, at(9000), aim) < at(9000), "not at all");
+}
--- a/crates/barleyspool_gateway/src/control/directory.rs
+++ b/crates/barleyspool_gateway/src/control/directory.rs
@@ -3,6 +3,7 @@
 use super::http_port;
 use super::state::ControlState;
 use crate::edges::DirectoryEdge;
+use barleyspool_core::Span;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,6 +15,10 @@
 
 /// The most addresses that one answer names.
 const MOST_ADDRESSES: usize = 16;
+/// For so long after its start a node may know few of those that serve.
+const YOUNG: Span = Span::from_secs(3);
+/// How long callers may keep the addresses that it names: all callers of a fleet that starts would go on with the first nodes that serve.
+const YOUNG_KEEP: Span = Span::from_millis(300);
 /// A zone's own nodes are named alone when there are at least this many of them.
 const ENOUGH_IN_ZONE: usize = 2;
 
@@ -40,13 +45,20 @@
     if addresses.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
-    let keep = state.shared.settings.address_keep();
+    let keep = address_keep(state);
     let mut response = plain(StatusCode::OK, (edge.answer)(&addresses, keep));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
 
+/// How long callers may keep the addresses.
+fn address_keep(state: &ControlState) -> Span {
+    let keep = state.shared.settings.address_keep();
+    let age = state.now().since(state.shared.clock.started());
+    if age < YOUNG { keep.min(YOUNG_KEEP) } else { keep }
+}
+
 fn plain(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -245,6 +245,7 @@
         ForwardPlan {
             made: self.now(),
             catalog: self.catalogs.borrow().catalog.clone(),
+            listed: self.targets_known.get(),
             zones: Arc::clone(&self.targets.borrow().zones),
             restarts: Arc::clone(&self.targets.borrow().restarts),
             services: Arc::clone(&self.targets.borrow().services),
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -11,6 +11,7 @@
 use super::read_call::{Taken, patience, read_body, take};
 use super::results::Results;
 use super::stages;
+use super::starting;
 use super::stopping;
 use super::target_choice::{self, Reserved};
 use crate::failure::CallFailure;
@@ -96,10 +97,14 @@
     let arrived = traffic.now();
     traffic.count(Counter::Arrived);
     let (parts, body) = request.into_parts();
-    let taken = take(&traffic, &parts);
+    let mut taken = take(&traffic, &parts);
     // The body is read in any case: closing a connection with unread bytes resets it, and the caller
     // would not see why.
     let read = read_body(&traffic, taken.as_ref().ok(), arrived, body).await;
+    if !traffic.plan().is_complete() {
+        starting::until_known(&traffic, &parts, arrived).await;
+        taken = take(&traffic, &parts);
+    }
     let (id, route, rank) = match &taken {
         Ok(taken) => (taken.head.id.as_str(), taken.route.name.as_str(), taken.rank),
         Err(_) => ("", "", 0),
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod results;
 mod send_request;
 mod stages;
+mod starting;
 mod stopping;
 mod stream_relay;
 mod target_choice;
@@ -36,7 +37,6 @@
 use connections::Connections;
 use peers::{Owner, Peers};
 use placement::Placements;
-
 use pools::Pools;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -47,7 +47,7 @@
 use target_ends::TargetEnds;
 use target_limits::TargetLimits;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// How often counters are shown.
 const SHOW_EVERY: Duration = Duration::from_millis(500);
@@ -62,6 +62,8 @@
     pub log: EventLog,
     /// The plan in force.
     pub plan: RefCell<Arc<ForwardPlan>>,
+    /// Notifies calls that wait for what a plan must hold.
+    pub plan_taken: Notify,
     /// The choice of targets.
     pub forwarder: RefCell<Forwarder>,
     /// Open connections to targets.
@@ -120,6 +122,7 @@
                 pool.hand_over();
             }
         }
+        self.plan_taken.notify_waiters();
     }
 }
 
@@ -146,6 +149,7 @@
         edges,
         log,
         plan: RefCell::default(),
+        plan_taken: Notify::new(),
         forwarder: RefCell::new(forwarder),
         connections: Connections::default(),
         pools: Pools::default(),
