--- a/crates/barleyspool_core/src/crashes/crash_table.rs
+++ b/crates/barleyspool_core/src/crashes/crash_table.rs
@@ -59,7 +59,7 @@
 
 /// What one node tells another of a call: which runs of targets ended under it, and how many milliseconds ago.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashNews {
+pub struct CrashUpdate {
     /// The call.
     pub print: CallPrint,
     /// The runs of targets, each with the age of its end in milliseconds.
@@ -109,21 +109,21 @@
     }
 
     /// Takes what another node tells.
-    pub fn take(&mut self, now: Time, news: &CrashNews) -> Learnt {
+    pub fn take(&mut self, now: Time, update: &CrashUpdate) -> Learnt {
         let end = |(run, age): &(RunMark, u32)| End {
             run: *run,
             at: now - Span::from_millis(u64::from(*age)),
         };
-        let ends: Vec<End> = news.ends.iter().take(MOST_ENDS).map(end).collect();
-        self.add(now, news.print, &ends)
+        let ends: Vec<End> = update.ends.iter().take(MOST_ENDS).map(end).collect();
+        self.add(now, update.print, &ends)
     }
 
     /// What this node can tell of a call.
-    pub fn news(&self, now: Time, print: CallPrint) -> Option<CrashNews> {
+    pub fn update_of(&self, now: Time, print: CallPrint) -> Option<CrashUpdate> {
         let record = self.records.get(&print)?;
         let age = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let ends = record.ends.iter().map(|end| (end.run, age(end.at)));
-        Some(CrashNews {
+        Some(CrashUpdate {
             print,
             ends: ends.collect(),
         })
--- a/crates/barleyspool_core/src/crashes/mod.rs
+++ b/crates/barleyspool_core/src/crashes/mod.rs
@@ -10,5 +10,5 @@
 mod survivors;
 
 pub use call_print::CallPrint;
-pub use crash_table::{CrashNews, CrashTable, Learnt, RefusedCalls, RunMark};
+pub use crash_table::{CrashTable, CrashUpdate, Learnt, RefusedCalls, RunMark};
 pub use survivors::Survivors;
--- a/crates/barleyspool_core/src/forward/bounded_targets.rs
+++ b/crates/barleyspool_core/src/forward/bounded_targets.rs
@@ -3,7 +3,7 @@
 //! Whatever chooses a target asks here, and a call goes to one of them only when the owner of its shard has given it out.
 
 use super::{ColdSpec, Forwarder, Shard, TargetEntry, TargetKey, TargetRecord, shard_key};
-use crate::{LimitWord, RateShare, RunMark, Span, Time, rendezvous};
+use crate::{LimitReport, RateShare, RunMark, Span, Time, rendezvous};
 use serde::{Deserialize, Serialize};
 
 /// How long it is believed that a target has no room, however much later it was told to have any: it may name a higher limit meanwhile.
@@ -60,16 +60,22 @@
 
     /// Takes what the answer of a target to a call said that was sent at `sent`. Returns the limit that stands now when
     /// others are to be told.
-    pub fn heard_limit(&mut self, now: Time, sent: Time, id: &str, word: LimitWord) -> Option<HeardLimit> {
-        if word == LimitWord::None && self.limits.is_empty() {
+    pub fn take_limit_report(
+        &mut self,
+        now: Time,
+        sent: Time,
+        id: &str,
+        word: LimitReport,
+    ) -> Option<ReportedLimit> {
+        if word == LimitReport::None && self.limits.is_empty() {
             // As nearly always: each answer comes by here.
             return None;
         }
         let run = self.targets.get(*self.by_id.get(id)?)?.mark;
         let before = self.limits.named(run);
-        let is_news = self.limits.heard(now, sent, run, word);
+        let is_new = self.limits.heard(now, sent, run, word);
         let per_s = self.limits.named(run);
-        is_news.then_some(HeardLimit {
+        is_new.then_some(ReportedLimit {
             run,
             per_s,
             changed: before != per_s,
@@ -121,11 +127,11 @@
         })
     }
 
-    /// Whether a call of the node `asker` may go to a target of a service that has no engines, within `patience`. When it may, that
+    /// Whether a call of the node `asker` may go to a target of a service that has no engines, within `max_wait`. When it may, that
     /// is counted.
-    pub fn grant(&mut self, now: Time, id: &str, asker: u64, patience: Span) -> Grant {
+    pub fn grant(&mut self, now: Time, id: &str, asker: u64, max_wait: Span) -> Grant {
         let Some(key) = self.by_id.get(id).copied() else {
-            return Grant::NoRoom(patience);
+            return Grant::NoRoom(max_wait);
         };
         let service = self.targets[key].entry.service.clone();
         let cold = self.cold_spec(&service);
@@ -134,7 +140,7 @@
         };
         let share = self.rate_share(now, self.shard_of(key), asker);
         let wait = self.room_in(now, key, bound, share);
-        if wait > patience || bound.ends_within(now, wait) {
+        if wait > max_wait || bound.ends_within(now, wait) {
             return Grant::NoRoom(share.ask_again(bound.wait(now, wait)));
         }
         self.targets[key].bucket.take(now, bound.per_s, share);
@@ -171,14 +177,14 @@
     pub fn no_room(&mut self, now: Time, target: TargetKey, until: Time) {
         if let Some(record) = self.targets.get_mut(target) {
             record.no_room_until = until;
-            record.no_room_told = now;
+            record.no_room_at = now;
         }
     }
 }
 
 /// What an answer changed of what is known of a target's limit.
 #[derive(Copy, Clone, Debug, PartialEq)]
-pub struct HeardLimit {
+pub struct ReportedLimit {
     /// The run of the target.
     pub run: RunMark,
     /// The calls a second that it takes; `None` when it limits nothing any more.
--- a/crates/barleyspool_core/src/forward/call_head.rs
+++ b/crates/barleyspool_core/src/forward/call_head.rs
@@ -21,7 +21,7 @@
     /// The path, without its query.
     pub path: String,
     /// How long the caller waits; `None` when it does not say.
-    pub patience: Option<Span>,
+    pub max_wait: Option<Span>,
     /// The caller's key; `None` when it sends none.
     pub key: Option<String>,
     /// The prompt's parts in order; the last belongs to this call or its session alone.
--- a/crates/barleyspool_core/src/forward/choice.rs
+++ b/crates/barleyspool_core/src/forward/choice.rs
@@ -121,8 +121,8 @@
                 None => {
                     let record = &self.targets[*key];
                     let told = record.no_room_until.since(now);
-                    let old = now.since(record.no_room_told) >= NO_ROOM_TTL;
-                    if old || told <= need.patience {
+                    let old = now.since(record.no_room_at) >= NO_ROOM_TTL;
+                    if old || told <= need.max_wait {
                         Span::ZERO
                     } else {
                         told
@@ -138,13 +138,13 @@
     /// The answer when no target can be used at once.
     fn when_room(&self, now: Time, need: &Need, room: &Room) -> Choose {
         if let Some((key, wait)) = room.first
-            && wait <= need.patience
+            && wait <= need.max_wait
         {
             return self.send_to(key, None, true, wait);
         }
         match room.wait {
             // One that is only full for a moment, or warm in a moment, is worth waiting for.
-            Some(wait) if wait > need.patience && !self.has_unbounded(now, need) => Choose::NoRoom(wait),
+            Some(wait) if wait > need.max_wait && !self.has_unbounded(now, need) => Choose::NoRoom(wait),
             _ => Choose::Busy(BUSY_WAIT),
         }
     }
--- a/crates/barleyspool_core/src/forward/kept_results.rs
+++ b/crates/barleyspool_core/src/forward/kept_results.rs
@@ -54,7 +54,7 @@
                 continue;
             };
             if target.takes_frees(now) && !(waits && target.limit.is_some()) {
-                target.told_to_free(now);
+                target.count_free(now);
                 by_maker.insert(id, (target.entry.address.clone(), vec![handle]));
             }
         }
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -46,7 +46,7 @@
 mod target_record;
 mod target_store;
 
-pub use bounded_targets::{Grant, HeardLimit, NO_ROOM_TTL};
+pub use bounded_targets::{Grant, NO_ROOM_TTL, ReportedLimit};
 pub use call_head::{CallHead, PromptPart};
 pub use catalog::{
     CallerLimits, Catalog, CatalogDocument, CatalogFault, KeyHolder, Route, RouteKind, Share, StageSpec,
--- a/crates/barleyspool_core/src/forward/need.rs
+++ b/crates/barleyspool_core/src/forward/need.rs
@@ -27,7 +27,7 @@
     /// Whether an engine can take the shared beginning of its prompt from another one.
     pub copies: bool,
     /// How long it may wait for a target that takes so many calls a second and no more.
-    pub patience: Span,
+    pub max_wait: Span,
     /// Set when this node places the calls of all nodes at the engines of a shard.
     pub placing: Option<Shard>,
 }
--- a/crates/barleyspool_core/src/forward/piece_time.rs
+++ b/crates/barleyspool_core/src/forward/piece_time.rs
@@ -5,9 +5,9 @@
 use crate::{Span, Time};
 
 /// A call is overdue after this many times its expected time.
-const PATIENCE: f64 = 2.0;
+const TIMEOUT: f64 = 2.0;
 /// And never before this much beyond it.
-const PATIENCE_LEAST: Span = Span::from_millis(60);
+const MAX_WAIT_LEAST: Span = Span::from_millis(60);
 
 impl PieceQueue {
     /// Puts back the pieces of calls that take far too long, and gives their places at the targets to others: the
@@ -75,5 +75,5 @@
 }
 
 fn overdue_at(call: &Call) -> Time {
-    call.started + call.expected.scale(PATIENCE).max(call.expected + PATIENCE_LEAST)
+    call.started + call.expected.scale(TIMEOUT).max(call.expected + MAX_WAIT_LEAST)
 }
--- a/crates/barleyspool_core/src/forward/pool_target.rs
+++ b/crates/barleyspool_core/src/forward/pool_target.rs
@@ -109,7 +109,7 @@
     }
 
     /// It is told to drop results.
-    pub(super) fn told_to_free(&mut self, now: Time) {
+    pub(super) fn count_free(&mut self, now: Time) {
         if self.limit.is_some() {
             self.count(now);
         }
--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -71,7 +71,7 @@
             ahead: None,
             random: SmallRng::seed_from_u64(seed),
         };
-        watch.heard_reader(now);
+        watch.reader_answered(now);
         watch
     }
 
@@ -107,7 +107,7 @@
     }
 
     /// A node to which the source answers told how far it has read, or the source answered this node itself.
-    pub fn heard_reader(&mut self, now: Time) {
+    pub fn reader_answered(&mut self, now: Time) {
         let spread = self.random.random_range(0..SILENCE_SPREAD.0);
         self.alone_at = now + SILENCE + Span(spread);
     }
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -52,7 +52,7 @@
     /// Until when it has no room for another call, by the word of the node that gives out its rate.
     pub no_room_until: Time,
     /// When that was told.
-    pub no_room_told: Time,
+    pub no_room_at: Time,
     measured: Time,
     streak: u32,
     out_until: Time,
@@ -75,7 +75,7 @@
             full_until: Time(0),
             bucket: TargetBucket::default(),
             no_room_until: Time(0),
-            no_room_told: Time(0),
+            no_room_at: Time(0),
             measured: Time(0),
             streak: 0,
             out_until: Time(0),
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -241,12 +241,12 @@
             None if first => {}
             None => word.times.began = now,
         }
-        let same_word = known.is_some_and(|known| {
+        let same_report = known.is_some_and(|known| {
             (known.run, known.sequence, known.cold) == (word.run, word.sequence, word.cold)
         });
         if word.cold == Span::ZERO {
             word.times.warm_at = Time(0);
-        } else if !same_word {
+        } else if !same_report {
             word.times.warm_at = now + word.cold;
         }
         Some(word)
--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -1,16 +1,16 @@
 //! Learning at once who is there, after a start or a sleep.
 //!
-//! News that ride on probes reach a large fleet within seconds, which is enough for one node that comes or goes.
+//! Updates that ride on probes reach a large fleet within seconds, which is enough for one node that comes or goes.
 //! When all start at the same moment it is not: a node that knows a few others takes pools for its own that
 //! others own too. So a node that has just started asks again and again, a seed at first and then anybody, and
 //! names what it knows by short marks; the other tells what is missing. Whoever is asked tells little at a time,
 //! so that no seed has to tell everybody everything (docs/DESIGN.md, "Members").
 //!
-//! A node that slept asks in the same way: news is passed on some twenty times and then no more, so what it missed it
+//! A node that slept asks in the same way: an update is passed on some twenty times and then no more, so what it missed it
 //! would only find out by probes of its own, of which a turn takes 21 s in a fleet of 86.
 
-use super::table::{Membership, news_of};
-use super::{Member, MemberNews, MemberQuestion};
+use super::table::{Membership, update_of};
+use super::{Member, MemberQuestion, MemberUpdate};
 use crate::{Span, Time, rendezvous};
 use rand::seq::{IteratorRandom, SliceRandom};
 use std::collections::HashSet;
@@ -24,10 +24,10 @@
 /// that it knows.
 const ASK_SETTLED: Span = Span::from_millis(100);
 /// The time over which what is told is counted.
-const TELL_WINDOW: Span = Span::from_millis(100);
+const SHARE_WINDOW: Span = Span::from_millis(100);
 /// Messages with which one question is answered at the most.
 const MOST_PARTS: usize = 8;
-/// Messages with which all questions of [`TELL_WINDOW`] are answered in full; those over it get a few names only.
+/// Messages with which all questions of [`SHARE_WINDOW`] are answered in full; those over it get a few names only.
 const PARTS_AT_ONCE: usize = 50;
 /// The names that a question over that is answered with.
 const FEW: usize = 3;
@@ -118,40 +118,44 @@
     /// Tells another node some of what it does not know, or that there is nothing.
     pub(super) fn share(&mut self, now: Time, to: &str, known: &[u32]) {
         // Before any other work: when a fleet starts, a seed gets thousands of questions a second.
-        let told = self.told_lately(now);
+        let told = self.parts_lately(now);
         if told >= PARTS_MOST {
             return;
         }
         let known: HashSet<u32> = known.iter().copied().collect();
-        let mut missing: Vec<MemberNews> = self
+        let mut missing: Vec<MemberUpdate> = self
             .members
             .values()
             .filter(|member| member.facts.address != to && !known.contains(&mark(member)))
-            .map(news_of)
+            .map(update_of)
             .collect();
         // Those who ask at the same moment are told different things, which they then tell each other.
         missing.shuffle(&mut self.random);
-        let most_news = self.settings.most_news.max(1);
+        let most_updates = self.settings.most_updates.max(1);
         let members = self.members.len() as u32;
         let nothing = [Vec::new()];
-        let parts: Vec<Vec<MemberNews>> = missing.chunks(most_news).map(<[_]>::to_vec).collect();
+        let parts: Vec<Vec<MemberUpdate>> = missing.chunks(most_updates).map(<[_]>::to_vec).collect();
         let parts = if parts.is_empty() { &nothing[..] } else { &parts };
         let busy = told >= PARTS_AT_ONCE;
-        let (most, names) = if busy { (1, FEW) } else { (MOST_PARTS, most_news) };
+        let (most, names) = if busy {
+            (1, FEW)
+        } else {
+            (MOST_PARTS, most_updates)
+        };
         for part in parts.iter().take(most) {
             self.catch_up.parts += 1;
-            let mut news = vec![self.me.clone()];
-            news.extend(part.iter().take(names).cloned());
-            let room = most_news.saturating_sub(part.len());
-            let crashes = self.crashes_to_tell(now, room);
-            self.post(to.to_owned(), MemberQuestion::Share { members }, news, crashes);
+            let mut updates = vec![self.me.clone()];
+            updates.extend(part.iter().take(names).cloned());
+            let room = most_updates.saturating_sub(part.len());
+            let crashes = self.next_crashes(now, room);
+            self.post(to.to_owned(), MemberQuestion::Share { members }, updates, crashes);
         }
     }
 
     /// Messages with which questions were answered in this window.
-    fn told_lately(&mut self, now: Time) -> usize {
+    fn parts_lately(&mut self, now: Time) -> usize {
         if now >= self.catch_up.window {
-            self.catch_up.window = now + TELL_WINDOW;
+            self.catch_up.window = now + SHARE_WINDOW;
             self.catch_up.parts = 0;
         }
         self.catch_up.parts
@@ -172,7 +176,7 @@
         self.catch_up.learnt += 1;
     }
 
-    /// Notes an answer, after its news were taken. Only a node that knows as many others as this one can say that
+    /// Notes an answer, after its updates were taken. Only a node that knows as many others as this one can say that
     /// there are no more.
     pub(super) fn shared(&mut self, teller: &str, members: u32) {
         self.catch_up.answered = true;
--- a/crates/barleyspool_core/src/membership/crash_news.rs
+++ b/crates/barleyspool_core/src/membership/crash_updates.rs
@@ -7,7 +7,7 @@
 
 use super::table::Membership;
 use super::{Member, MemberAction, MemberHealth, MemberQuestion};
-use crate::{CallPrint, CrashNews, CrashTable, Learnt, RunMark, Time, rendezvous};
+use crate::{CallPrint, CrashTable, CrashUpdate, Learnt, RunMark, Time, rendezvous};
 use rand::seq::IteratorRandom;
 use std::collections::{HashMap, VecDeque};
 
@@ -15,10 +15,10 @@
 /// missed.
 const KEEPERS: usize = 3;
 /// Nodes that are told at once by the one that finds out that targets end under a call.
-const TOLD_FIRST: usize = 16;
+const NOTIFIED_FIRST: usize = 16;
 /// Nodes that are told at once by each that hears of it: by a simulation of 89 and 410 nodes that lose 3 of 100 datagrams 98 of
 /// 100 hear it so, the rest with the next messages that go out anyway.
-const TOLD_NEXT: usize = 4;
+const NOTIFIED_NEXT: usize = 4;
 /// Calls that are told with each message, 30 to 61 bytes each; the whole message fits a datagram that no network has to split. A
 /// node gets some eight messages a second, so it hears of 24 calls a second.
 const IN_MESSAGE: usize = 3;
@@ -41,25 +41,25 @@
     pub(super) fn crashed(&mut self, now: Time, print: CallPrint, run: RunMark) {
         match self.crashes.table.ended(now, print, run) {
             Learnt::Nothing => {}
-            Learnt::Suspect => self.tell_keepers(now, print),
-            Learnt::Confirmed => self.spread(now, print, TOLD_FIRST),
+            Learnt::Suspect => self.notify_keepers(now, print),
+            Learnt::Confirmed => self.spread(now, print, NOTIFIED_FIRST),
         }
     }
 
     /// Takes what another node tells of such calls.
-    pub(super) fn take_crashes(&mut self, now: Time, news: &[CrashNews]) {
-        for news in news {
-            let heard_first = news.ends.len() == 1;
-            if self.crashes.table.take(now, news) == Learnt::Confirmed {
+    pub(super) fn take_crashes(&mut self, now: Time, updates: &[CrashUpdate]) {
+        for update in updates {
+            let first_end = update.ends.len() == 1;
+            if self.crashes.table.take(now, update) == Learnt::Confirmed {
                 // Whoever puts two words together is the first to know.
-                let told = if heard_first { TOLD_FIRST } else { TOLD_NEXT };
-                self.spread(now, news.print, told);
+                let told = if first_end { NOTIFIED_FIRST } else { NOTIFIED_NEXT };
+                self.spread(now, update.print, told);
             }
         }
     }
 
-    /// The calls that go with a message which has room for `room` more news of nodes; these are larger.
-    pub(super) fn crashes_to_tell(&mut self, now: Time, room: usize) -> Vec<CrashNews> {
+    /// The calls that go with a message which has room for `room` more updates of nodes; these are larger.
+    pub(super) fn next_crashes(&mut self, now: Time, room: usize) -> Vec<CrashUpdate> {
         let mut told = Vec::new();
         for _ in 0..self.crashes.turn.len() {
             if told.len() == IN_MESSAGE + room {
@@ -69,7 +69,7 @@
                 break;
             };
             if self.crashes.table.is_confirmed(now, print) {
-                told.extend(self.crashes.table.news(now, print));
+                told.extend(self.crashes.table.update_of(now, print));
                 self.crashes.turn.push_back(print);
             }
         }
@@ -82,12 +82,12 @@
         self.actions.push(MemberAction::CallsRefused);
         let others: Vec<String> = self.reachable().collect();
         let told = others.into_iter().choose_multiple(&mut self.random, told);
-        self.tell_crash(now, print, told);
+        self.notify_crash(now, print, told);
     }
 
-    fn tell_keepers(&mut self, now: Time, print: CallPrint) {
+    fn notify_keepers(&mut self, now: Time, print: CallPrint) {
         let keepers = self.keepers(print);
-        self.tell_crash(now, print, keepers);
+        self.notify_crash(now, print, keepers);
     }
 
     /// The nodes that hear of every end under a call: the best placed ones, of different zones as far as there are any.
@@ -108,12 +108,12 @@
         keepers.map(|(_, member)| member.facts.address.clone()).collect()
     }
 
-    fn tell_crash(&mut self, now: Time, print: CallPrint, told: Vec<String>) {
-        let Some(news) = self.crashes.table.news(now, print) else {
+    fn notify_crash(&mut self, now: Time, print: CallPrint, told: Vec<String>) {
+        let Some(update) = self.crashes.table.update_of(now, print) else {
             return;
         };
         for to in told {
-            self.tell(to, MemberQuestion::News, vec![news.clone()]);
+            self.notify(to, MemberQuestion::Update, vec![update.clone()]);
         }
     }
 }
--- a/crates/barleyspool_core/src/membership/event.rs
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -29,7 +29,7 @@
         run: RunMark,
     },
     /// An answer of a target said what it takes.
-    LimitHeard {
+    LimitReceived {
         /// The run of the target.
         run: RunMark,
         /// The calls a second that it takes from all nodes; `None` when it limits nothing any more.
@@ -75,10 +75,10 @@
     },
 }
 
-/// How well news travel, for operators.
+/// How well updates travel, for operators.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub struct MemberCounts {
-    /// Nodes of which there is news that is to be passed on.
+    /// Nodes whose updates are to be passed on.
     pub waiting: usize,
     /// Suspicions that were ignored because the teller knew older facts of the same run.
     pub outdated: u64,
--- a/crates/barleyspool_core/src/membership/limit_news.rs
+++ b/crates/barleyspool_core/src/membership/limit_updates.rs
@@ -6,14 +6,14 @@
 
 use super::table::Membership;
 use super::{MemberAction, MemberQuestion};
-use crate::{LimitNews, LimitTable, LimitWord, RunMark, Time};
+use crate::{LimitReport, LimitTable, LimitUpdate, RunMark, Time};
 use rand::seq::IteratorRandom;
 use std::collections::VecDeque;
 
 /// Nodes that are told at once by the one that reads an answer.
-const TOLD_FIRST: usize = 16;
+const NOTIFIED_FIRST: usize = 16;
 /// Nodes that are told at once by each that hears of it.
-const TOLD_NEXT: usize = 4;
+const NOTIFIED_NEXT: usize = 4;
 /// Words in one message, some 20 bytes each.
 const IN_MESSAGE: usize = 24;
 
@@ -32,24 +32,24 @@
     }
 
     /// This node has read in an answer what a target takes; `None` when it limits nothing any more.
-    pub(super) fn limit_heard(&mut self, now: Time, run: RunMark, per_s: Option<f64>) {
-        let word = per_s.map_or(LimitWord::None, LimitWord::PerSecond);
+    pub(super) fn limit_received(&mut self, now: Time, run: RunMark, per_s: Option<f64>) {
+        let word = per_s.map_or(LimitReport::None, LimitReport::PerSecond);
         let before = self.limits.table.named(run);
-        let is_news = self.limits.table.heard(now, now, run, word);
+        let is_new = self.limits.table.heard(now, now, run, word);
         if before != self.limits.table.named(run) {
             self.actions.push(MemberAction::LimitsChanged);
         }
-        if is_news {
-            self.spread_limit(now, run, TOLD_FIRST);
+        if is_new {
+            self.spread_limit(now, run, NOTIFIED_FIRST);
         }
     }
 
     /// Takes what another node tells.
-    pub(super) fn take_limits(&mut self, now: Time, news: &[LimitNews]) {
-        for news in news {
-            if self.limits.table.take(now, news) {
+    pub(super) fn take_limits(&mut self, now: Time, updates: &[LimitUpdate]) {
+        for update in updates {
+            if self.limits.table.take(now, update) {
                 self.actions.push(MemberAction::LimitsChanged);
-                self.spread_limit(now, news.run, TOLD_NEXT);
+                self.spread_limit(now, update.run, NOTIFIED_NEXT);
             }
         }
     }
@@ -74,13 +74,13 @@
             let Some(run) = self.limits.turn.pop_front() else {
                 break;
             };
-            if let Some(news) = self.limits.table.news(now, run) {
-                told.push(news);
+            if let Some(update) = self.limits.table.update_of(now, run) {
+                told.push(update);
                 self.limits.turn.push_back(run);
             }
         }
         if !told.is_empty() {
-            self.tell_limits(vec![to.to_owned()], &told);
+            self.send_limits(vec![to.to_owned()], &told);
         }
     }
 
@@ -89,14 +89,14 @@
         self.limits.turn.push_front(run);
         let others: Vec<String> = self.reachable().collect();
         let told = others.into_iter().choose_multiple(&mut self.random, told);
-        let news = self.limits.table.news(now, run);
-        self.tell_limits(told, news.as_slice());
+        let update = self.limits.table.update_of(now, run);
+        self.send_limits(told, update.as_slice());
     }
 
-    fn tell_limits(&mut self, to: Vec<String>, news: &[LimitNews]) {
+    fn send_limits(&mut self, to: Vec<String>, updates: &[LimitUpdate]) {
         for to in to {
-            let news = news.to_vec();
-            self.tell(to, MemberQuestion::Limits { news }, Vec::new());
+            let updates = updates.to_vec();
+            self.notify(to, MemberQuestion::Limits { updates }, Vec::new());
         }
     }
 }
--- a/crates/barleyspool_core/src/membership/member.rs
+++ b/crates/barleyspool_core/src/membership/member.rs
@@ -25,7 +25,7 @@
     /// It did not answer this node, or did not refute a suspicion in time.
     Silence,
     /// Another node told so.
-    News,
+    Gossip,
 }
 
 /// What a node says of itself.
@@ -47,7 +47,7 @@
 
 /// How far a node has read the source.
 ///
-/// Each node tells only its own, with every message. Passed on by others it would be news of all nodes with
+/// Each node tells only its own, with every message. Passed on by others it would be an update of all nodes with
 /// every configuration, and crowd out who died or leaves: at ten configurations a second the median node of 86 heard
 /// of a death after 13.7 s in place of 1.6 s.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -1,12 +1,12 @@
 //! What nodes say to each other about who is there.
 
 use super::{MemberFacts, MemberHealth, SourceState};
-use crate::{CrashNews, Incarnation, LimitNews};
+use crate::{CrashUpdate, Incarnation, LimitUpdate};
 use serde::{Deserialize, Serialize};
 
 /// What one node knows of another, passed on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberNews {
+pub struct MemberUpdate {
     /// What the node said of itself.
     pub facts: MemberFacts,
     /// Which run of it.
@@ -50,10 +50,10 @@
     /// What targets have said of their limits.
     Limits {
         /// Their words.
-        news: Vec<LimitNews>,
+        updates: Vec<LimitUpdate>,
     },
-    /// Only news.
-    News,
+    /// Nothing but the updates.
+    Update,
     /// The sender reads the source, and this is how far.
     Announce,
 }
@@ -65,10 +65,10 @@
     pub question: MemberQuestion,
     /// How far the sender has read the source.
     pub source: SourceState,
-    /// News, the sender's own first.
-    pub news: Vec<MemberNews>,
+    /// Updates, the sender's own first.
+    pub updates: Vec<MemberUpdate>,
     /// Calls under which targets have ended. Left out when there are none, as nearly always: a node that reads the source
     /// announces that to its whole zone, and a byte in each message is 60 bytes a second at 410 nodes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<CrashNews>,
+    pub crashes: Vec<CrashUpdate>,
 }
--- a/crates/barleyspool_core/src/membership/probes.rs
+++ b/crates/barleyspool_core/src/membership/probes.rs
@@ -10,10 +10,10 @@
 /// Dead nodes and seeds are still asked now and then, so that two sides of a cut find each other again.
 const REVIVE_EVERY: Span = Span::from_secs(1);
 
-/// The part of a round after which the next probe goes out while more news of health waits than one message takes.
+/// The part of a round after which the next probe goes out while more updates of health wait than one message takes.
 ///
 /// When half of a fleet of 86 dies at once, the last of the others has heard of every death after 4 s; with whole rounds and
-/// eight news to a message it was 7 to 8 s.
+/// eight updates to a message it was 7 to 8 s.
 const CROWDED_PACE: f64 = 0.5;
 
 impl Membership {
@@ -21,7 +21,7 @@
         if now < self.next_round {
             return;
         }
-        let crowded = self.to_tell.health_waits() > self.settings.most_news;
+        let crowded = self.updates.health_waits() > self.settings.most_updates;
         let pace = if crowded { CROWDED_PACE } else { 1.0 };
         self.next_round = now + self.settings.round.scale(pace);
         self.notice_reach(now);
--- a/crates/barleyspool_core/src/membership/reach.rs
+++ b/crates/barleyspool_core/src/membership/reach.rs
@@ -15,7 +15,7 @@
 impl Membership {
     /// How many of the nodes that were there lately this one hears, itself included. Nodes that went in order are not missed.
     pub fn reach(&self, now: Time) -> Reach {
-        let heard = 1 + self.members.values().filter(|member| is_heard(member)).count();
+        let heard = 1 + self.members.values().filter(|member| is_reached(member)).count();
         let missed = |since: Span| {
             let missed = |member: &&Member| {
                 member.health == MemberHealth::Dead && !member.left && now.since(member.since) < since
@@ -33,6 +33,6 @@
     }
 }
 
-fn is_heard(member: &Member) -> bool {
+fn is_reached(member: &Member) -> bool {
     matches!(member.health, MemberHealth::Alive | MemberHealth::Suspect)
 }
--- a/crates/barleyspool_core/src/membership/hearing.rs
+++ b/crates/barleyspool_core/src/membership/receive.rs
@@ -2,7 +2,7 @@
 
 use super::table::Membership;
 use super::{
-    Evidence, Member, MemberAction, MemberHealth, MemberMessage, MemberNews, MemberQuestion, SourceState,
+    Evidence, Member, MemberAction, MemberHealth, MemberMessage, MemberQuestion, MemberUpdate, SourceState,
 };
 use crate::{Incarnation, Time, rendezvous};
 use rand::Rng;
@@ -10,18 +10,18 @@
 impl Membership {
     /// Takes a message of the node at `from`, and answers it where it wants an answer.
     pub(super) fn message(&mut self, now: Time, from: &str, message: MemberMessage) {
-        for (place, news) in message.news.into_iter().enumerate() {
-            self.news(now, news, place == 0);
+        for (place, update) in message.updates.into_iter().enumerate() {
+            self.take_update(now, update, place == 0);
         }
         if let Some(member) = self.members.get_mut(from) {
             member.spoke = true;
             member.source = message.source;
             // Only of members: what they say keeps calls from targets.
             self.take_crashes(now, &message.crashes);
-            if let MemberQuestion::Limits { news } = &message.question {
-                self.take_limits(now, news);
+            if let MemberQuestion::Limits { updates } = &message.question {
+                self.take_limits(now, updates);
             }
-            self.source_told(message.source, message.question == MemberQuestion::Announce);
+            self.source_reported(message.source, message.question == MemberQuestion::Announce);
         }
         match message.question {
             MemberQuestion::Probe { number } => {
@@ -37,12 +37,12 @@
                 self.share_limits(now, from);
             }
             MemberQuestion::Share { members } => self.shared(from, members),
-            MemberQuestion::Limits { .. } | MemberQuestion::News | MemberQuestion::Announce => {}
+            MemberQuestion::Limits { .. } | MemberQuestion::Update | MemberQuestion::Announce => {}
         }
     }
 
     /// Passes on what another node told of its reading, when that is of use here.
-    fn source_told(&mut self, source: SourceState, reads: bool) {
+    fn source_reported(&mut self, source: SourceState, reads: bool) {
         let newer = source.version > self.source.version || source.list > self.source.list;
         if newer || reads {
             self.actions.push(MemberAction::Told { source, reads });
@@ -65,42 +65,42 @@
         }
     }
 
-    /// Takes news of one node, told by itself (`first_hand`) or by another.
-    fn news(&mut self, now: Time, mut news: MemberNews, first_hand: bool) {
-        let address = news.facts.address.clone();
+    /// Takes an update of one node, sent by itself (`first_hand`) or by another.
+    fn take_update(&mut self, now: Time, mut update: MemberUpdate, first_hand: bool) {
+        let address = update.facts.address.clone();
         if address == self.me.facts.address {
-            self.news_of_me(&news);
+            self.own_update(&update);
             return;
         }
         let evidence = if first_hand {
             Evidence::Answer
         } else {
-            Evidence::News
+            Evidence::Gossip
         };
         let Some(known) = self.members.get_mut(&address) else {
-            // Also when it is dead: older news of it may come later, from a node that slept.
-            self.learn(now, address, &news, evidence);
+            // Also when it is dead: an older update of it may come later, from a node that slept.
+            self.learn(now, address, &update, evidence);
             return;
         };
-        let newer = (news.incarnation, news.change) > (known.incarnation, known.change);
-        let same_run = news.incarnation == known.incarnation;
-        if same_run && news.health == MemberHealth::Dead && !believes_death(known) {
-            news.health = MemberHealth::Suspect;
+        let newer = (update.incarnation, update.change) > (known.incarnation, known.change);
+        let same_run = update.incarnation == known.incarnation;
+        if same_run && update.health == MemberHealth::Dead && !believes_death(known) {
+            update.health = MemberHealth::Suspect;
         }
-        let worse = same_run && news.change >= known.change && news.health > known.health;
+        let worse = same_run && update.change >= known.change && update.health > known.health;
         // A node that speaks for itself is alive, however it was thought of.
-        let speaks = first_hand && same_run && news.change >= known.change && news.health != known.health;
-        if same_run && news.change < known.change && news.health > known.health {
+        let speaks = first_hand && same_run && update.change >= known.change && update.health != known.health;
+        if same_run && update.change < known.change && update.health > known.health {
             self.outdated += 1;
         }
         if !newer && !worse && !speaks {
             return;
         }
         let revived = newer && (!same_run || first_hand);
-        let health = news.health;
+        let health = update.health;
         let changed = health > known.health || revived || speaks;
         if newer {
-            self.newer_facts(news, evidence);
+            self.newer_facts(update, evidence);
         }
         if changed {
             self.set_health(now, &address, health, evidence);
@@ -108,22 +108,22 @@
     }
 
     /// Takes what a known node newly says of itself.
-    fn newer_facts(&mut self, news: MemberNews, evidence: Evidence) {
-        let address = news.facts.address.clone();
+    fn newer_facts(&mut self, update: MemberUpdate, evidence: Evidence) {
+        let address = update.facts.address.clone();
         let Some(known) = self.members.get_mut(&address) else {
             return;
         };
-        let same_run = news.incarnation == known.incarnation;
-        let serving_changed = known.facts.serving != news.facts.serving;
-        known.incarnation = news.incarnation;
-        known.change = news.change;
-        known.facts = news.facts;
+        let same_run = update.incarnation == known.incarnation;
+        let serving_changed = known.facts.serving != update.facts.serving;
+        known.incarnation = update.incarnation;
+        known.change = update.change;
+        known.facts = update.facts;
         let health = known.health;
         if same_run {
-            self.to_tell.add_facts(&address);
+            self.updates.add_facts(&address);
         } else {
             // It refutes a suspicion, or has started again: as urgent as a suspicion itself.
-            self.to_tell.add_health(&address);
+            self.updates.add_health(&address);
         }
         if serving_changed {
             self.actions.push(MemberAction::Changed {
@@ -135,33 +135,33 @@
     }
 
     /// Somebody thinks ill of this run of the node, or knows a later one: a higher incarnation refutes both.
-    fn news_of_me(&mut self, news: &MemberNews) {
-        let ill = news.health != MemberHealth::Alive && self.me.health == MemberHealth::Alive;
-        let later = news.incarnation > self.me.incarnation;
-        if (ill && news.incarnation >= self.me.incarnation) || later {
-            self.me.incarnation = Incarnation(news.incarnation.0 + 1);
+    fn own_update(&mut self, update: &MemberUpdate) {
+        let ill = update.health != MemberHealth::Alive && self.me.health == MemberHealth::Alive;
+        let later = update.incarnation > self.me.incarnation;
+        if (ill && update.incarnation >= self.me.incarnation) || later {
+            self.me.incarnation = Incarnation(update.incarnation.0 + 1);
             // The time to refute runs at all who heard of the suspicion. With probes alone to carry the refutation, a pause
             // of 0.7 s was taken for a death for 10 node-seconds in a fleet of 86, told at once for 2.9.
-            self.tell_some();
+            self.notify_some();
         }
     }
 
-    fn learn(&mut self, now: Time, address: String, news: &MemberNews, evidence: Evidence) {
+    fn learn(&mut self, now: Time, address: String, update: &MemberUpdate, evidence: Evidence) {
         let member = Member {
-            facts: news.facts.clone(),
-            incarnation: news.incarnation,
-            change: news.change,
-            health: news.health,
+            facts: update.facts.clone(),
+            incarnation: update.incarnation,
+            change: update.change,
+            health: update.health,
             source: SourceState::default(),
-            key: rendezvous::text_key(&news.facts.address),
+            key: rendezvous::text_key(&update.facts.address),
             since: now,
             spoke: false,
-            left: news.health == MemberHealth::Leaving,
+            left: update.health == MemberHealth::Leaving,
         };
         let health = member.health;
         self.note_learnt();
         self.members.insert(address.clone(), member);
-        self.to_tell.add_facts(&address);
+        self.updates.add_facts(&address);
         let place = self.random.random_range(0..=self.turn.len());
         self.turn.insert(place, address.clone());
         self.actions.push(MemberAction::Changed {
@@ -181,7 +181,7 @@
         member.left = health == MemberHealth::Leaving || (member.left && health == MemberHealth::Dead);
         member.health = health;
         member.since = now;
-        self.to_tell.add_health(address);
+        self.updates.add_health(address);
         self.actions.push(MemberAction::Changed {
             address: address.to_owned(),
             health,
--- a/crates/barleyspool_core/src/membership/settings.rs
+++ b/crates/barleyspool_core/src/membership/settings.rs
@@ -18,14 +18,14 @@
     pub answer: Span,
     /// How long a suspected node may take to refute.
     pub refute: Span,
-    /// How long a dead node is remembered, so that old news of a node that slept or was cut off does not revive it.
+    /// How long a dead node is remembered, so that an old update of a node that slept or was cut off does not revive it.
     /// Longer than machines are usually suspended; each dead node costs some 200 bytes.
     pub forget: Span,
     /// How many others are asked to probe.
     pub helpers: usize,
-    /// The most news in one message besides the sender's own: some 85 bytes each, so that a message fits a datagram of
+    /// The most updates in one message besides the sender's own: some 85 bytes each, so that a message fits a datagram of
     /// 1,472 bytes that no network has to split.
-    pub most_news: usize,
+    pub most_updates: usize,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -41,7 +41,7 @@
             refute: Span::from_millis(1000),
             forget: Span::from_secs(600),
             helpers: 2,
-            most_news: 14,
+            most_updates: 14,
             seed: 1,
         }
     }
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -1,14 +1,14 @@
 //! The table of nodes, stepped with the time and what was heard.
 
 use super::catch_up::CatchUp;
-use super::crash_news::Crashes;
-use super::limit_news::Limits;
-use super::news_queue::NewsQueue;
+use super::crash_updates::Crashes;
+use super::limit_updates::Limits;
+use super::update_queue::UpdateQueue;
 use super::{
-    Member, MemberAction, MemberCounts, MemberEvent, MemberFacts, MemberHealth, MemberMessage, MemberNews,
-    MemberQuestion, MembershipSettings, SourceState,
+    Member, MemberAction, MemberCounts, MemberEvent, MemberFacts, MemberHealth, MemberMessage,
+    MemberQuestion, MemberUpdate, MembershipSettings, SourceState,
 };
-use crate::{CrashNews, Reach, Span, Time};
+use crate::{CrashUpdate, Reach, Span, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
@@ -24,7 +24,7 @@
     pub(super) asked_by: Option<(String, u64)>,
 }
 
-/// How often a piece of news is passed on, times the logarithm of the number of nodes.
+/// How often an update is passed on, times the logarithm of the number of nodes.
 const SPREAD: f64 = 3.0;
 /// A node that itself was asleep this long suspects nobody for what it missed.
 const SLEPT: Span = Span::from_millis(800);
@@ -34,7 +34,7 @@
 pub struct Membership {
     pub(super) settings: MembershipSettings,
     pub(super) members: BTreeMap<String, Member>,
-    pub(super) me: MemberNews,
+    pub(super) me: MemberUpdate,
     pub(super) source: SourceState,
     pub(super) catch_up: CatchUp,
     pub(super) crashes: Crashes,
@@ -42,7 +42,7 @@
     pub(super) reach: Reach,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
-    pub(super) to_tell: NewsQueue,
+    pub(super) updates: UpdateQueue,
     pub(super) outdated: u64,
     pub(super) next_number: u64,
     pub(super) next_round: Time,
@@ -56,7 +56,7 @@
 impl Membership {
     /// A table that knows only its own node.
     pub fn new(settings: MembershipSettings) -> Self {
-        let me = MemberNews {
+        let me = MemberUpdate {
             facts: settings.facts.clone(),
             incarnation: settings.incarnation,
             change: 0,
@@ -73,7 +73,7 @@
             members: BTreeMap::new(),
             probes: HashMap::new(),
             turn: VecDeque::new(),
-            to_tell: NewsQueue::default(),
+            updates: UpdateQueue::default(),
             outdated: 0,
             next_number: 1,
             next_round: Time(0),
@@ -95,7 +95,7 @@
             MemberEvent::Source(source) => self.source = source,
             MemberEvent::Announce(audience) => self.announce(audience),
             MemberEvent::Crashed { print, run } => self.crashed(now, print, run),
-            MemberEvent::LimitHeard { run, per_s } => self.limit_heard(now, run, per_s),
+            MemberEvent::LimitReceived { run, per_s } => self.limit_received(now, run, per_s),
             MemberEvent::Leave => self.leave(),
             MemberEvent::Seeds(seeds) => self.settings.seeds = seeds,
         }
@@ -124,14 +124,14 @@
     }
 
     /// This node as the others hear of it.
-    pub fn me(&self) -> &MemberNews {
+    pub fn me(&self) -> &MemberUpdate {
         &self.me
     }
 
-    /// How well news travel.
+    /// How well updates travel.
     pub fn counts(&self) -> MemberCounts {
         MemberCounts {
-            waiting: self.to_tell.len(),
+            waiting: self.updates.len(),
             outdated: self.outdated,
         }
     }
@@ -160,42 +160,42 @@
         }
         self.me.facts.serving = serving;
         self.me.change += 1;
-        self.tell_some();
+        self.notify_some();
     }
 
     fn leave(&mut self) {
         self.me.health = MemberHealth::Leaving;
         self.me.change += 1;
-        self.tell_some();
+        self.notify_some();
     }
 
-    /// Tells some others at once what this node says of itself, and nothing else; they pass it on.
-    pub(super) fn tell_some(&mut self) {
+    /// Notifies some others at once of what this node says of itself, and nothing else; they pass it on.
+    pub(super) fn notify_some(&mut self) {
         let everybody: Vec<String> = self.reachable().collect();
-        let most = self.settings.most_news * 4;
+        let most = self.settings.most_updates * 4;
         let told: Vec<String> = everybody.into_iter().choose_multiple(&mut self.random, most);
         for address in told {
-            self.tell(address, MemberQuestion::News, Vec::new());
+            self.notify(address, MemberQuestion::Update, Vec::new());
         }
     }
 
-    /// Tells another node something at once, with nothing but this node's own news beside it.
-    pub(super) fn tell(&mut self, to: String, question: MemberQuestion, crashes: Vec<CrashNews>) {
-        let news = vec![self.me.clone()];
-        self.post(to, question, news, crashes);
+    /// Notifies another node at once, with nothing but this node's own update.
+    pub(super) fn notify(&mut self, to: String, question: MemberQuestion, crashes: Vec<CrashUpdate>) {
+        let updates = vec![self.me.clone()];
+        self.post(to, question, updates, crashes);
     }
 
     pub(super) fn post(
         &mut self,
         to: String,
         question: MemberQuestion,
-        news: Vec<MemberNews>,
-        crashes: Vec<CrashNews>,
+        updates: Vec<MemberUpdate>,
+        crashes: Vec<CrashUpdate>,
     ) {
         let message = MemberMessage {
             question,
             source: self.source,
-            news,
+            updates,
             crashes,
         };
         self.actions.push(MemberAction::Send { to, message });
@@ -208,7 +208,7 @@
         }
     }
 
-    /// After a pause of its own, a node has missed answers, for which nobody is to blame, and news.
+    /// After a pause of its own, a node has missed answers, for which nobody is to blame, and updates.
     fn notice_sleep(&mut self, now: Time) {
         if self.last_step != Time(0) && now.since(self.last_step) > SLEPT {
             self.probes.clear();
@@ -242,28 +242,28 @@
     }
 
     pub(super) fn send(&mut self, now: Time, to: String, question: MemberQuestion) {
-        let mut news = vec![self.me.clone()];
+        let mut updates = vec![self.me.clone()];
         // What a node is thought of comes first to itself, so that it can refute.
         if let Some(member) = self.members.get(&to)
             && member.health != MemberHealth::Alive
         {
-            news.push(news_of(member));
+            updates.push(update_of(member));
         }
-        news.extend(self.news_to_tell());
-        let crashes = self.crashes_to_tell(now, 0);
-        self.post(to, question, news, crashes);
+        updates.extend(self.next_updates());
+        let crashes = self.next_crashes(now, 0);
+        self.post(to, question, updates, crashes);
     }
 
-    fn news_to_tell(&mut self) -> Vec<MemberNews> {
+    fn next_updates(&mut self) -> Vec<MemberUpdate> {
         let often = (SPREAD * ((self.members.len() + 2) as f64).log2()).ceil() as u32;
-        let next = self.to_tell.take(self.settings.most_news, often);
+        let next = self.updates.take(self.settings.most_updates, often);
         let known = next.iter().filter_map(|address| self.members.get(address));
-        known.map(news_of).collect()
+        known.map(update_of).collect()
     }
 }
 
-pub(super) fn news_of(member: &Member) -> MemberNews {
-    MemberNews {
+pub(super) fn update_of(member: &Member) -> MemberUpdate {
+    MemberUpdate {
         facts: member.facts.clone(),
         incarnation: member.incarnation,
         change: member.change,
--- a/crates/barleyspool_core/src/membership/news_queue.rs
+++ b/crates/barleyspool_core/src/membership/update_queue.rs
@@ -1,24 +1,24 @@
-//! Which news goes with the next message.
+//! Which updates go with the next message.
 
 use std::collections::{HashMap, VecDeque};
 
-/// The part of a message that news of facts always gets, one in so many: who has come must be heard also while others
+/// The part of a message that updates of facts always get, one in so many: who has come must be known also while others
 /// die and come back.
 const FACTS_SHARE: usize = 4;
 
-/// The nodes of which there is news to pass on, each so many times.
+/// The nodes whose updates are passed on, each so many times.
 ///
-/// News of how nodes are goes before news of their facts, and within each line every node has its turn, however often
-/// there is news of the others. With the newest of all news first, 56 of 85 nodes had not heard of a death after
+/// Updates of health go before those of facts, and within each line every node has its turn, however often
+/// there are updates of the others. With the newest of all updates first, 56 of 85 nodes had not heard of a death after
 /// 3.5 s when 20 others changed their facts ten times a second; with one line of turns 64 had not, since
 /// a fleet that has just started passes on facts of everybody for half a minute.
 #[derive(Debug, Default)]
-pub(super) struct NewsQueue {
+pub(super) struct UpdateQueue {
     health: Line,
     facts: Line,
 }
 
-impl NewsQueue {
+impl UpdateQueue {
     /// The health of the node at `address` has changed.
     pub(super) fn add_health(&mut self, address: &str) {
         self.health.add(address);
@@ -29,17 +29,17 @@
         self.facts.add(address);
     }
 
-    /// News of health to pass on.
+    /// Updates of health to pass on.
     pub(super) fn health_waits(&self) -> usize {
         self.health.order.len()
     }
 
-    /// News to pass on.
+    /// Updates to pass on.
     pub(super) fn len(&self) -> usize {
         self.health.order.len() + self.facts.order.len()
     }
 
-    /// Takes the nodes whose news goes with the next message, at most `most`; each is taken `often` times in all.
+    /// Takes the nodes whose updates go with the next message, at most `most`; each is taken `often` times in all.
     pub(super) fn take(&mut self, most: usize, often: u32) -> Vec<String> {
         let kept = (most / FACTS_SHARE).min(self.facts.order.len());
         let mut taken = self.health.take(most - kept, often);
@@ -52,7 +52,7 @@
 #[derive(Debug, Default)]
 struct Line {
     order: VecDeque<String>,
-    /// How often the news of a node was passed on.
+    /// How often the update of a node was passed on.
     told: HashMap<String, u32>,
 }
 
--- a/crates/barleyspool_core/src/orders.rs
+++ b/crates/barleyspool_core/src/orders.rs
@@ -103,7 +103,7 @@
     /// A report older than this is not acted on.
     pub report_age: Span,
     /// How long an order's effect is awaited before it is given again.
-    pub patience: Span,
+    pub max_wait: Span,
 }
 
 impl Default for KeeperPace {
@@ -112,7 +112,7 @@
             loads: 1.0,
             keepers: 1,
             report_age: Span::from_secs(5),
-            patience: Span::from_secs(3),
+            max_wait: Span::from_secs(3),
         }
     }
 }
@@ -209,7 +209,7 @@
         }
         if engine
             .ordered
-            .is_some_and(|(_, at)| now.since(at) < self.pace.patience)
+            .is_some_and(|(_, at)| now.since(at) < self.pace.max_wait)
         {
             return Err(OrderState::Pending);
         }
--- a/crates/barleyspool_core/src/policy.rs
+++ b/crates/barleyspool_core/src/policy.rs
@@ -40,7 +40,7 @@
     /// Whether retries come out of a budget; otherwise each step is sent up to three times.
     pub budget: bool,
     /// Whether an attempt that takes far too long is given up and sent elsewhere.
-    pub patience: bool,
+    pub max_wait: bool,
     /// What expected time is multiplied with when a request is admitted.
     pub margin: f64,
 }
@@ -52,7 +52,7 @@
             choice: Choice::TwoChoices,
             bound: Bound::Adaptive,
             budget: true,
-            patience: true,
+            max_wait: true,
             margin: 1.25,
         }
     }
@@ -66,7 +66,7 @@
             choice: Choice::RoundRobin,
             bound: Bound::Unbounded,
             budget: false,
-            patience: false,
+            max_wait: false,
             margin: 1.25,
         }
     }
--- a/crates/barleyspool_core/src/rate_limits/limit_word.rs
+++ b/crates/barleyspool_core/src/rate_limits/limit_report.rs
@@ -2,7 +2,7 @@
 
 /// What the head of an answer says of its target's limit.
 #[derive(Copy, Clone, Debug, Default, PartialEq)]
-pub enum LimitWord {
+pub enum LimitReport {
     /// It names none, which ends one that was named before.
     #[default]
     None,
@@ -12,7 +12,7 @@
     Unreadable,
 }
 
-impl LimitWord {
+impl LimitReport {
     /// The word for a number that stood in an answer.
     pub fn of(per_s: f64) -> Self {
         if per_s.is_finite() && per_s >= 0.0 {
--- a/crates/barleyspool_core/src/rate_limits/limit_table.rs
+++ b/crates/barleyspool_core/src/rate_limits/limit_table.rs
@@ -1,12 +1,12 @@
 //! The limits that targets have named.
 
-use super::LimitWord;
+use super::LimitReport;
 use crate::{RunMark, Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
 /// Targets whose word is remembered, some 40 bytes each: more than there are targets.
-const MOST_WORDS: usize = 4096;
+const MOST_REPORTS: usize = 4096;
 /// How long it is remembered that a limit is over, so that older words of it, which other nodes still pass on, change nothing.
 const OVER_KEPT: Span = Span::from_secs(60);
 /// How long a limit is remembered that no answer has repeated. Whoever sends to the target hears it again.
@@ -31,7 +31,7 @@
 
 /// What one node tells another of a target's limit.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct LimitNews {
+pub struct LimitUpdate {
     /// The run of the target.
     pub run: RunMark,
     /// The calls a second that it takes from all nodes; `None` when a limit is over.
@@ -53,46 +53,46 @@
     ///
     /// An answer without a limit ends one only when its call was sent after the limit was heard of: others were on their way already when the
     /// target named it.
-    pub fn heard(&mut self, now: Time, sent: Time, run: RunMark, word: LimitWord) -> bool {
+    pub fn heard(&mut self, now: Time, sent: Time, run: RunMark, word: LimitReport) -> bool {
         let known = self.words.get(&run);
         let per_s = match word {
-            LimitWord::PerSecond(per_s) => Some(per_s),
-            LimitWord::None if known.is_some_and(|known| known.per_s.is_some() && sent >= known.at) => None,
-            LimitWord::None | LimitWord::Unreadable => return false,
+            LimitReport::PerSecond(per_s) => Some(per_s),
+            LimitReport::None if known.is_some_and(|known| known.per_s.is_some() && sent >= known.at) => None,
+            LimitReport::None | LimitReport::Unreadable => return false,
         };
-        let is_news = known.is_none_or(|known| known.per_s != per_s || now.since(known.told) > REFRESH);
-        let told = if is_news {
+        let is_new = known.is_none_or(|known| known.per_s != per_s || now.since(known.told) > REFRESH);
+        let told = if is_new {
             now
         } else {
             known.map_or(now, |known| known.told)
         };
         self.insert(now, run, Word { per_s, at: now, told });
-        is_news
+        is_new
     }
 
-    /// Takes what another node tells. Returns whether it is news that others are to be told.
-    pub fn take(&mut self, now: Time, news: &LimitNews) -> bool {
-        let per_s = match news.per_s.map(LimitWord::of) {
-            Some(LimitWord::PerSecond(per_s)) => Some(per_s),
+    /// Takes the update of another node. Returns whether it is new, so that others are to be notified.
+    pub fn take(&mut self, now: Time, update: &LimitUpdate) -> bool {
+        let per_s = match update.per_s.map(LimitReport::of) {
+            Some(LimitReport::PerSecond(per_s)) => Some(per_s),
             None => None,
             Some(_) => return false,
         };
         let word = Word {
             per_s,
-            at: now - Span::from_millis(u64::from(news.age)),
+            at: now - Span::from_millis(u64::from(update.age)),
             told: now,
         };
-        self.take_word(now, news.run, word)
+        self.take_report(now, update.run, word)
     }
 
     /// Takes what another table of this node has heard. Returns the targets of which that changes what is known.
     pub fn merge(&mut self, now: Time, other: &Self) -> Vec<RunMark> {
         let words = other.words.iter();
-        let changed = words.filter(|(run, word)| self.take_word(now, **run, **word));
+        let changed = words.filter(|(run, word)| self.take_report(now, **run, **word));
         changed.map(|(run, _)| *run).collect()
     }
 
-    fn take_word(&mut self, now: Time, run: RunMark, word: Word) -> bool {
+    fn take_report(&mut self, now: Time, run: RunMark, word: Word) -> bool {
         let Some(known) = self.words.get(&run).copied() else {
             self.insert(now, run, word);
             return true;
@@ -123,9 +123,9 @@
     }
 
     /// What this node can tell of a run of a target.
-    pub fn news(&self, now: Time, run: RunMark) -> Option<LimitNews> {
+    pub fn update_of(&self, now: Time, run: RunMark) -> Option<LimitUpdate> {
         let word = self.words.get(&run)?;
-        Some(LimitNews {
+        Some(LimitUpdate {
             run,
             per_s: word.per_s,
             age: u32::try_from(now.since(word.at).as_millis()).unwrap_or(u32::MAX),
@@ -155,11 +155,11 @@
     }
 
     fn insert(&mut self, now: Time, run: RunMark, word: Word) {
-        if self.words.len() >= MOST_WORDS && !self.words.contains_key(&run) {
+        if self.words.len() >= MOST_REPORTS && !self.words.contains_key(&run) {
             self.forget(now);
             let oldest = self.words.iter().min_by_key(|(_, word)| word.at);
             if let Some(oldest) = oldest.map(|(run, _)| *run)
-                && self.words.len() >= MOST_WORDS
+                && self.words.len() >= MOST_REPORTS
             {
                 self.words.remove(&oldest);
             }
--- a/crates/barleyspool_core/src/rate_limits/mod.rs
+++ b/crates/barleyspool_core/src/rate_limits/mod.rs
@@ -5,15 +5,15 @@
 //! ([`TargetBucket`]); the others ask it. How much of the whole a node may give out follows from who else it hears
 //! ([`Reach`]) and whether it owns the target ([`Ownership`]). What targets have said is in [`LimitTable`]. docs/DESIGN.md, "Rates of targets".
 
+mod limit_report;
 mod limit_table;
-mod limit_word;
 mod ownership;
 mod reach;
 mod target_bucket;
 mod token_bucket;
 
-pub use limit_table::{LimitNews, LimitTable};
-pub use limit_word::LimitWord;
+pub use limit_report::LimitReport;
+pub use limit_table::{LimitTable, LimitUpdate};
 pub use ownership::{Ownership, RateShare, Standing};
 pub use reach::Reach;
 pub use target_bucket::TargetBucket;
--- a/crates/barleyspool_core/src/rate_limits/ownership.rs
+++ b/crates/barleyspool_core/src/rate_limits/ownership.rs
@@ -46,7 +46,7 @@
 
 /// Whether a node owns some targets.
 ///
-/// While news of a change of owner spreads, and while an owner is frozen, dead or cut off, some nodes ask another than the owner. Each of
+/// While a change of owner spreads, and while an owner is frozen, dead or cut off, some nodes ask another than the owner. Each of
 /// them brings along its own part of the rate, one of as many as there are nodes. So all who stand in give out no
 /// more together than the part of the fleet that does not reach the owner, and all of it when nobody does.
 #[derive(Clone, Debug, Default)]
--- a/crates/barleyspool_core/src/router/dispatch.rs
+++ b/crates/barleyspool_core/src/router/dispatch.rs
@@ -10,9 +10,9 @@
 use std::sync::Arc;
 
 /// An attempt is given up for another target after this many times the expected time.
-const PATIENCE: f64 = 4.0;
+const TIMEOUT: f64 = 4.0;
 /// But never before this: a fast service has short pauses too.
-const PATIENCE_LEAST: Span = Span::from_millis(50);
+const MAX_WAIT_LEAST: Span = Span::from_millis(50);
 /// What must be left of a step's expected time for starting it to make sense.
 const START_SHARE: f64 = 0.8;
 /// The holder of a prefix is preferred while its load is at most this many times the average.
@@ -256,27 +256,27 @@
         };
         self.count(Counter::Dispatched(order.service));
         self.actions.push(TrafficAction::Dispatch { attempt, order });
-        let wake = self.patience_ends(now, id);
+        let wake = self.wait_ends(now, id);
         self.set_wake(id, wake);
     }
 
     /// When to look at a request whose step is at a target: at its deadline, or earlier when the step
     /// takes far too long and there is still time to run it elsewhere.
-    pub(super) fn patience_ends(&self, from: Time, id: RequestId) -> Time {
+    pub(super) fn wait_ends(&self, from: Time, id: RequestId) -> Time {
         let Some(request) = self.requests.get(id) else {
             return Time(0);
         };
-        if !self.settings.policy.patience || !request.repeatable() {
+        if !self.settings.policy.max_wait || !request.repeatable() {
             return request.deadline;
         }
         let took = |stage: &StagePlan| self.services[usize::from(stage.service.0)].took;
-        let patience = from
+        let max_wait = from
             + Span(took(request.stage()) as u64)
-                .scale(PATIENCE)
-                .max(PATIENCE_LEAST);
+                .scale(TIMEOUT)
+                .max(MAX_WAIT_LEAST);
         let rest: f64 = request.rest().iter().map(took).sum();
-        if patience + Span(rest as u64) <= request.deadline {
-            patience
+        if max_wait + Span(rest as u64) <= request.deadline {
+            max_wait
         } else {
             request.deadline
         }
--- a/crates/barleyspool_core/src/router/end.rs
+++ b/crates/barleyspool_core/src/router/end.rs
@@ -165,9 +165,9 @@
             }
             return self.give_up(now, id, Reason::DeadlineMissed, Some(Peer::Target(target)));
         }
-        let patience = self.patience_ends(heard, id);
-        if now < patience {
-            return self.set_wake(id, patience);
+        let max_wait = self.wait_ends(heard, id);
+        if now < max_wait {
+            return self.set_wake(id, max_wait);
         }
         self.impatient(now, id);
     }
--- a/crates/barleyspool_core/tests/cold_targets.rs
+++ b/crates/barleyspool_core/tests/cold_targets.rs
@@ -181,7 +181,7 @@
     let mut owner = node(&owner_plan(&Rates::Cold(SLOW, COLD), true), 1);
     let need = Need {
         engine_memory: Some(600_000),
-        patience: Span::from_millis(75),
+        max_wait: Span::from_millis(75),
         placing: Some(Shard::WHOLE),
         ..need()
     };
--- a/crates/barleyspool_core/tests/crashes.rs
+++ b/crates/barleyspool_core/tests/crashes.rs
@@ -7,7 +7,7 @@
     reason = "a test stops where it fails"
 )]
 
-use barleyspool_core::{CallPrint, CrashNews, CrashTable, Learnt, RunMark, Span, Survivors, Time};
+use barleyspool_core::{CallPrint, CrashTable, CrashUpdate, Learnt, RunMark, Span, Survivors, Time};
 
 const CALL: CallPrint = CallPrint(7);
 const START: Time = Time(1_000_000_000_000);
@@ -100,14 +100,14 @@
 }
 
 fn the_order_does_not_matter(words: &[(u8, u8)], shuffle: u64) -> bool {
-    let news = |(number, age): &(u8, u8)| CrashNews {
+    let news = |(number, age): &(u8, u8)| CrashUpdate {
         print: CALL,
         ends: vec![(run(u32::from(number % 6)), u32::from(*age) * 2500)],
     };
     let mut one = CrashTable::default();
     let mut other = CrashTable::default();
     let now = at(3600);
-    let told: Vec<CrashNews> = words.iter().map(news).collect();
+    let told: Vec<CrashUpdate> = words.iter().map(news).collect();
     for news in &told {
         one.take(now, news);
     }
@@ -126,7 +126,7 @@
     here.ended(at(1), CALL, run(2));
     let mut there = CrashTable::default();
     // The clock of the other node is an hour ahead.
-    let news = here.news(at(3), CALL).unwrap();
+    let news = here.update_of(at(3), CALL).unwrap();
     assert_eq!(there.take(at(3603), &news), Learnt::Confirmed);
     assert_eq!(wait(&there, at(3604)), wait(&here, at(4)));
     assert_eq!(there.take(at(3603), &news), Learnt::Nothing);
--- a/crates/barleyspool_core/tests/limited_targets.rs
+++ b/crates/barleyspool_core/tests/limited_targets.rs
@@ -8,7 +8,7 @@
 #[path = "support/rated_fleet.rs"]
 mod rated_fleet;
 
-use barleyspool_core::{LimitTable, LimitWord, MemberView, Reach, RunMark, Span, Time};
+use barleyspool_core::{LimitReport, LimitTable, MemberView, Reach, RunMark, Span, Time};
 use rated_fleet::{ENGINES, Fleet, Rates, members, node, owner_plan};
 
 const WINDOW: Span = Span::from_secs(4);
@@ -37,7 +37,7 @@
 
 fn fleet(count: usize, per_s: f64) -> Fleet {
     let mut fleet = Fleet::new(count, 1, &Rates::Limit(per_s));
-    fleet.patience = Span::from_millis(75);
+    fleet.max_wait = Span::from_millis(75);
     fleet.know_reach(Time(0), count);
     fleet
 }
@@ -189,7 +189,7 @@
     }
     for node in fleet.nodes.values_mut() {
         for place in 0..ENGINES {
-            node.heard_limit(at(10.0), at(10.0), &format!("i-{place}"), named(4.0));
+            node.take_limit_report(at(10.0), at(10.0), &format!("i-{place}"), named(4.0));
         }
     }
     for number in 0..800 {
@@ -206,8 +206,8 @@
 
 const RUN: RunMark = RunMark(7);
 
-fn named(per_s: f64) -> LimitWord {
-    LimitWord::PerSecond(per_s)
+fn named(per_s: f64) -> LimitReport {
+    LimitReport::PerSecond(per_s)
 }
 
 #[test]
@@ -216,16 +216,16 @@
     assert!(table.heard(at(1.0), at(0.9), RUN, named(3.0)));
     assert_eq!(table.per_s(RUN), Some(3.0));
     assert!(
-        !table.heard(at(1.1), at(0.95), RUN, LimitWord::None),
+        !table.heard(at(1.1), at(0.95), RUN, LimitReport::None),
         "it was on its way before"
     );
     assert_eq!(table.per_s(RUN), Some(3.0));
-    assert!(!table.heard(at(1.15), at(1.05), RUN, LimitWord::Unreadable));
+    assert!(!table.heard(at(1.15), at(1.05), RUN, LimitReport::Unreadable));
     assert_eq!(table.per_s(RUN), Some(3.0));
-    assert!(table.heard(at(1.2), at(1.1), RUN, LimitWord::None));
+    assert!(table.heard(at(1.2), at(1.1), RUN, LimitReport::None));
     assert_eq!(table.per_s(RUN), None);
     assert!(
-        !table.heard(at(1.3), at(1.25), RUN, LimitWord::None),
+        !table.heard(at(1.3), at(1.25), RUN, LimitReport::None),
         "that is known"
     );
 }
@@ -234,9 +234,9 @@
 fn the_youngest_word_counts_whoever_tells_it() {
     let (mut one, mut other) = (LimitTable::default(), LimitTable::default());
     one.heard(at(1.0), at(1.0), RUN, named(3.0));
-    let old = one.news(at(1.0), RUN).expect("it is known");
-    one.heard(at(2.0), at(1.5), RUN, LimitWord::None);
-    let over = one.news(at(2.1), RUN).expect("it is known");
+    let old = one.update_of(at(1.0), RUN).expect("it is known");
+    one.heard(at(2.0), at(1.5), RUN, LimitReport::None);
+    let over = one.update_of(at(2.1), RUN).expect("it is known");
     assert!(other.take(at(1.0), &old));
     assert!(other.take(at(2.1), &over));
     assert_eq!(other.per_s(RUN), None);
@@ -264,7 +264,7 @@
 fn words_of_other_nodes_that_make_no_sense_change_nothing_and_memory_is_bounded() {
     let mut table = LimitTable::default();
     for per_s in [f64::NAN, f64::INFINITY, -1.0] {
-        let news = barleyspool_core::LimitNews {
+        let news = barleyspool_core::LimitUpdate {
             run: RUN,
             per_s: Some(per_s),
             age: 0,
--- a/crates/barleyspool_core/tests/membership/crashes.rs
+++ b/crates/barleyspool_core/tests/membership/crashes.rs
@@ -2,7 +2,7 @@
 
 use crate::net::{Net, fleet, name};
 use barleyspool_core::{
-    CallPrint, CrashNews, MemberEvent, MemberMessage, MemberQuestion, RunMark, SourceState, Span,
+    CallPrint, CrashUpdate, MemberEvent, MemberMessage, MemberQuestion, RunMark, SourceState, Span,
 };
 
 /// The time in which every node has to know: on all deployments a node that has run undisturbed for 3 s is bound by it.
@@ -156,14 +156,14 @@
     let message = MemberMessage {
         question: MemberQuestion::Announce,
         source: SourceState::default(),
-        news: Vec::new(),
+        updates: Vec::new(),
         crashes: Vec::new(),
     };
     let bytes = rmp_serde::to_vec(&message).unwrap();
     assert_eq!(bytes[0], 0x93, "an array of three");
     assert_eq!(rmp_serde::from_slice::<MemberMessage>(&bytes).unwrap(), message);
     let told = MemberMessage {
-        crashes: vec![CrashNews {
+        crashes: vec![CrashUpdate {
             print: CallPrint(7),
             ends: vec![(RunMark(1), 20), (RunMark(2), 10)],
         }],
--- a/crates/barleyspool_core/tests/membership/limits.rs
+++ b/crates/barleyspool_core/tests/membership/limits.rs
@@ -8,7 +8,7 @@
 const RUN: RunMark = RunMark(7);
 
 fn heard(net: &mut Net, node: usize, per_s: Option<f64>) {
-    net.step(&name(node), MemberEvent::LimitHeard { run: RUN, per_s });
+    net.step(&name(node), MemberEvent::LimitReceived { run: RUN, per_s });
 }
 
 /// The nodes that believe something else of the target.
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -1,9 +1,9 @@
 //! Nodes that find each other from a few seeds, over a network that loses, cuts and delays.
 
 mod crashes;
+mod gossip;
 mod limits;
 mod net;
-mod news;
 
 use barleyspool_core::{MemberEvent, MemberHealth, Span};
 use net::Net;
--- a/crates/barleyspool_core/tests/source_reading/fleet.rs
+++ b/crates/barleyspool_core/tests/source_reading/fleet.rs
@@ -178,7 +178,7 @@
         let end = self.net.now + span;
         while self.net.now < end {
             self.net.run(STEP);
-            self.take_told();
+            self.take_reported();
             let names: Vec<String> = self.nodes.keys().cloned().collect();
             for name in &names {
                 if self.net.asleep.contains(name) {
@@ -191,14 +191,14 @@
         }
     }
 
-    fn take_told(&mut self) {
+    fn take_reported(&mut self) {
         let now = self.net.now;
         for (name, source, reads) in std::mem::take(&mut self.net.told) {
             let Some(node) = self.nodes.get_mut(&name) else {
                 continue;
             };
             if reads && !source.failing {
-                node.watch.heard_reader(now);
+                node.watch.reader_answered(now);
             }
             node.watch.told(now, source, node.held());
         }
@@ -273,7 +273,7 @@
                 self.failed(node);
                 return;
             }
-            node.watch.heard_reader(now);
+            node.watch.reader_answered(now);
         }
         if !wants || now < node.wakes && node.failing {
             return;
@@ -287,7 +287,7 @@
             node.missing = false;
             node.has = self.version;
             node.cursor.answered(Revision(self.version));
-            node.watch.heard_reader(now);
+            node.watch.reader_answered(now);
         }
         node.failing = false;
         if node.watch.is_reader() && settled {
--- a/crates/barleyspool_core/tests/support/rated_fleet.rs
+++ b/crates/barleyspool_core/tests/support/rated_fleet.rs
@@ -4,7 +4,7 @@
 
 use barleyspool_core::{
     Catalog, CatalogDocument, Choose, ColdSpec, ForwardPlan, ForwardService, ForwardSettings, Forwarder,
-    Grant, LimitWord, MemberView, Need, Reach, Shard, Span, TargetEntry, TargetTable, Time, rendezvous,
+    Grant, LimitReport, MemberView, Need, Reach, Shard, Span, TargetEntry, TargetTable, Time, rendezvous,
     service_targets, shard_key,
 };
 use std::collections::BTreeMap;
@@ -120,7 +120,7 @@
     /// Nodes that do not answer.
     pub mute: Vec<u64>,
     /// How long calls may wait.
-    pub patience: Span,
+    pub max_wait: Span,
 }
 
 impl Fleet {
@@ -135,7 +135,7 @@
             sent: BTreeMap::new(),
             refused: 0,
             mute: Vec::new(),
-            patience: Span::ZERO,
+            max_wait: Span::ZERO,
         };
         for part in &parts {
             for member in part {
@@ -146,8 +146,8 @@
                 let mut forwarder = node(&plan, member.key);
                 if let Rates::Limit(per_s) = rates {
                     for place in 0..ENGINES {
-                        let word = LimitWord::PerSecond(*per_s);
-                        forwarder.heard_limit(Time(0), Time(0), &format!("i-{place}"), word);
+                        let word = LimitReport::PerSecond(*per_s);
+                        forwarder.take_limit_report(Time(0), Time(0), &format!("i-{place}"), word);
                     }
                 }
                 fleet.nodes.insert(member.key, forwarder);
@@ -216,7 +216,7 @@
             },
             prefix_tokens: 500,
             prompt_tokens: 1500,
-            patience: self.patience,
+            max_wait: self.max_wait,
             placing: Some(shard),
             ..need()
         };
@@ -241,7 +241,7 @@
     /// One call at a plain target, of a node of a part.
     pub fn plain_call_of(&mut self, now: Time, part: &[MemberView], asker: u64) {
         let need = Need {
-            patience: self.patience,
+            max_wait: self.max_wait,
             ..need()
         };
         // Each refusal takes one target out of the choice.
@@ -254,7 +254,7 @@
                 let shard = forwarder.shard_of_target(&chosen.id).expect("it is listed");
                 let owner = self.asked(part, shard);
                 let owner = self.nodes.get_mut(&owner).expect("it is a node");
-                match owner.grant(now, &chosen.id, asker, need.patience) {
+                match owner.grant(now, &chosen.id, asker, need.max_wait) {
                     Grant::After(wait) => wait,
                     Grant::NoRoom(wait) => {
                         let forwarder = self.nodes.get_mut(&asker).expect("it is a node");
--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// How often it is looked whether another node is to be asked, or told something, besides when one tells of news.
+/// How often it is looked whether another node is to be asked, or notified, besides when one reports something newer.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// How long a question may take.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -41,7 +41,7 @@
 pub async fn run(state: Rc<ControlState>) {
     let mut avoided = Avoided::new();
     loop {
-        state.reading.until_told(LOOK_EVERY).await;
+        state.reading.until_reported(LOOK_EVERY).await;
         state.expire_targets();
         state.take_role();
         state.announce_now_and_then();
--- a/crates/barleyspool_gateway/src/control/members.rs
+++ b/crates/barleyspool_gateway/src/control/members.rs
@@ -1,4 +1,4 @@
-//! Probes and news of other nodes, by UDP.
+//! Probes and updates of other nodes, by UDP.
 
 use super::state::ControlState;
 use crate::shared::Sighting;
@@ -52,7 +52,7 @@
     while let Some(sighting) = sightings.recv().await {
         state.step_members(match sighting {
             Sighting::Ended { print, run } => MemberEvent::Crashed { print, run },
-            Sighting::Limit { run, per_s } => MemberEvent::LimitHeard { run, per_s },
+            Sighting::Limit { run, per_s } => MemberEvent::LimitReceived { run, per_s },
         });
     }
 }
@@ -65,7 +65,7 @@
         }
         // Counted and not logged: a node of another version sends several a second.
         Err(_) => {
-            state.shared.news_unreadable.fetch_add(1, Ordering::Relaxed);
+            state.shared.datagrams_unreadable.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -78,7 +78,7 @@
     }
 
     /// Waits until another node has something newer, `longest` at the most.
-    pub async fn until_told(&self, longest: Duration) {
+    pub async fn until_reported(&self, longest: Duration) {
         // Either is a reason to look.
         let _ = tokio::time::timeout(longest, self.told.notified()).await;
     }
@@ -180,7 +180,7 @@
         let now = self.now();
         let place = feed as usize;
         if cause.is_none() {
-            self.heard_reader(now);
+            self.reader_answered(now);
         }
         let before = self.reading.failing.borrow()[place].clone();
         if before.as_ref().map(|(_, cause)| cause.as_str()) == cause {
@@ -215,9 +215,9 @@
         }
     }
 
-    fn heard_reader(&self, now: Time) {
-        self.reading.watch.borrow_mut().heard_reader(now);
-        self.shared.source_heard.store(now.0, Ordering::Relaxed);
+    fn reader_answered(&self, now: Time) {
+        self.reading.watch.borrow_mut().reader_answered(now);
+        self.shared.source_answered.store(now.0, Ordering::Relaxed);
     }
 
     // ------------------------------------------------------------------------
@@ -279,10 +279,10 @@
     // What others tell
 
     /// Another node told how far it has read the source.
-    pub fn source_told(&self, told: SourceState, reads: bool) {
+    pub fn source_reported(&self, told: SourceState, reads: bool) {
         let now = self.now();
         if reads && !told.failing {
-            self.heard_reader(now);
+            self.reader_answered(now);
         }
         let held = self.held();
         self.reading.watch.borrow_mut().told(now, told, held);
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -139,14 +139,14 @@
         if changed && settled {
             self.log_members(now);
         }
-        self.count_news();
+        self.count_updates();
         if actions.is_empty() && !changed {
             return;
         }
         for action in actions {
             match action {
                 MemberAction::Send { .. } => self.outbox.borrow_mut().push(action),
-                MemberAction::Told { source, reads } => self.source_told(source, reads),
+                MemberAction::Told { source, reads } => self.source_reported(source, reads),
                 MemberAction::CallsRefused => self.publish_refused(now),
                 MemberAction::ReachChanged => changed = true,
                 MemberAction::LimitsChanged => {
@@ -201,11 +201,13 @@
         self.shared.refused.store(Arc::new(refused));
     }
 
-    fn count_news(&self) {
+    fn count_updates(&self) {
         let counts = self.membership.borrow().counts();
-        self.shared.news_waiting.store(counts.waiting, Ordering::Relaxed);
         self.shared
-            .news_outdated
+            .updates_waiting
+            .store(counts.waiting, Ordering::Relaxed);
+        self.shared
+            .updates_outdated
             .store(counts.outdated, Ordering::Relaxed);
     }
 
@@ -264,7 +266,7 @@
     match evidence {
         Evidence::Answer => "answer",
         Evidence::Silence => "silence",
-        Evidence::News => "news",
+        Evidence::Gossip => "gossip",
     }
 }
 
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -5,7 +5,7 @@
 
 use crate::CallFailure;
 use barleyspool_core::{
-    CallHead, CatalogDocument, LimitWord, LoadReport, PieceAsk, PieceOutcome, Revision, Span, TargetEntry,
+    CallHead, CatalogDocument, LimitReport, LoadReport, PieceAsk, PieceOutcome, Revision, Span, TargetEntry,
 };
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName};
@@ -76,7 +76,7 @@
     /// How long it keeps the connection open at rest, if it tells.
     pub keep: Option<Span>,
     /// Whether it limits what it takes.
-    pub limit: LimitWord,
+    pub limit: LimitReport,
 }
 
 /// How targets that answer calls speak.
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -89,20 +89,20 @@
     gauge(meter, shared, "members_serving", |shared| {
         shared.plan.load().members.len() as u64
     });
-    gauge(meter, shared, "member_news_waiting", |shared| {
-        shared.news_waiting.load(Ordering::Relaxed) as u64
+    gauge(meter, shared, "member_updates_waiting", |shared| {
+        shared.updates_waiting.load(Ordering::Relaxed) as u64
     });
-    total(meter, shared, "member_news_outdated", |shared| {
-        &shared.news_outdated
+    total(meter, shared, "member_updates_outdated", |shared| {
+        &shared.updates_outdated
     });
-    total(meter, shared, "member_news_unreadable", |shared| {
-        &shared.news_unreadable
+    total(meter, shared, "member_datagrams_unreadable", |shared| {
+        &shared.datagrams_unreadable
     });
     gauge(meter, shared, "source_reader", |shared| {
         u64::from(shared.source_reader.load(Ordering::Relaxed))
     });
     gauge(meter, shared, "source_silence_ms", |shared| {
-        let heard = Time(shared.source_heard.load(Ordering::Relaxed));
+        let heard = Time(shared.source_answered.load(Ordering::Relaxed));
         shared.clock.now().since(heard).as_millis()
     });
     total(meter, shared, "source_calls", |shared| &shared.source_calls);
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -41,16 +41,16 @@
     pub refused: ArcSwap<RefusedCalls>,
     /// What the traffic thread last counted.
     pub counters: ArcSwap<Counters>,
-    /// Nodes of which there is news that waits to be passed on.
-    pub news_waiting: AtomicUsize,
+    /// Nodes whose updates wait to be passed on.
+    pub updates_waiting: AtomicUsize,
     /// Suspicions that were ignored because the teller knew older facts.
-    pub news_outdated: AtomicU64,
+    pub updates_outdated: AtomicU64,
     /// Datagrams of other nodes that could not be read.
-    pub news_unreadable: AtomicU64,
+    pub datagrams_unreadable: AtomicU64,
     /// Calls to the source.
     pub source_calls: AtomicU64,
     /// When the source, or a node that reads it, last told how things are, in microseconds of the clock.
-    pub source_heard: AtomicU64,
+    pub source_answered: AtomicU64,
     /// Whether this node reads the source for its zone.
     pub source_reader: AtomicBool,
     /// Questions to other nodes for what is newer there.
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -155,7 +155,7 @@
         .and_then(|service| service.pool.as_ref());
     let Some(spec) = spec else { return start };
     let alone = spec.call + Span(spec.item.0 * u64::from(spec.batch));
-    let queued = Span(told_wait(call, stage).0.saturating_sub(alone.0));
+    let queued = Span(reported_wait(call, stage).0.saturating_sub(alone.0));
     let planned = planned_time(call, plan, service, spec);
     // While the stages before run, the pool works on.
     let ahead = Span((queued + planned).0.saturating_sub(start.total().0));
@@ -169,7 +169,7 @@
 }
 
 /// How long a full call takes at the pool of a stage, by its owner's last word.
-fn told_wait(call: &Call, stage: usize) -> Span {
+fn reported_wait(call: &Call, stage: usize) -> Span {
     let traffic = &call.traffic;
     let id = stages::likely_pool(call, stage);
     let told = match traffic.peers.owner(traffic, &id) {
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -8,7 +8,7 @@
 use super::final_send;
 use super::held_bytes::HeldBytes;
 use super::placement;
-use super::read_call::{Taken, patience, read_body, take};
+use super::read_call::{Taken, max_wait, read_body, take};
 use super::results::Results;
 use super::stages;
 use super::starting;
@@ -132,7 +132,7 @@
         engine_memory: engine.map(|engine| engine.memory_tokens),
         copies: engine.is_some_and(|engine| engine.copies),
         service,
-        deadline: stopping::bounded(traffic, arrived + patience(&taken.head, &taken.route)),
+        deadline: stopping::bounded(traffic, arrived + max_wait(&taken.head, &taken.route)),
         print: call_print(&taken, &parts, &body),
         head: taken.head,
         route: taken.route,
@@ -280,7 +280,7 @@
             input_bytes: self.input_bytes(),
             avoid: self.avoid.borrow().clone(),
             copies: self.copies,
-            patience: Span::ZERO,
+            max_wait: Span::ZERO,
             placing: None,
         }
     }
--- a/crates/barleyspool_gateway/src/traffic/callers.rs
+++ b/crates/barleyspool_gateway/src/traffic/callers.rs
@@ -80,7 +80,7 @@
             // What has arrived is read before anything is closed for being late.
             biased;
             // A caller that goes away ends its connection; what it waited for has been dropped with it.
-            ended = connection.as_mut() => return tell_undelivered(&traffic, &watch, &ended),
+            ended = connection.as_mut() => return log_undelivered(&traffic, &watch, &ended),
             overdue = watch.overdue(head_time, rest) => {
                 if overdue == Overdue::Head {
                     return traffic.count(Counter::SlowHead);
@@ -97,7 +97,7 @@
 }
 
 /// A connection that ends while the kernel has not taken all of an answer: the caller has not got it.
-fn tell_undelivered(traffic: &Traffic, watch: &ConnectionWatch, ended: &hyper::Result<()>) {
+fn log_undelivered(traffic: &Traffic, watch: &ConnectionWatch, ended: &hyper::Result<()>) {
     let (Err(error), Some(id)) = (ended, watch.undelivered()) else {
         return;
     };
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -31,11 +31,11 @@
 /// The largest answer that is held whole, in bytes.
 const MOST_ANSWER: usize = 32 << 20;
 /// A repeatable call goes elsewhere after this many times the expected time.
-const PATIENCE: f64 = 5.0;
+const TIMEOUT: f64 = 5.0;
 /// But never before this.
-const PATIENCE_LEAST: Span = Span::from_millis(250);
+const MAX_WAIT_LEAST: Span = Span::from_millis(250);
 /// Nor before this share of its aim: a busy target is no silent one.
-const PATIENCE_SHARE: f64 = 0.5;
+const MAX_WAIT_SHARE: f64 = 0.5;
 
 /// What became of a call that was sent.
 pub enum Outcome {
@@ -289,12 +289,12 @@
 ) -> Result<Sent, SendEnd> {
     let traffic = &call.traffic;
     let request = request(call, chosen, inputs, resume_after).ok_or(SendEnd::Unreachable)?;
-    let patience = patience(call);
+    let max_wait = max_wait(call);
     let sent_at = traffic.now();
     let sent = traffic
         .connections
         .send(&chosen.address, &chosen.id, request, || call.sending.set(true));
-    let (connection, response) = match timer::timeout(patience, sent).await {
+    let (connection, response) = match timer::timeout(max_wait, sent).await {
         Ok(Ok(sent)) => sent,
         Ok(Err(SendFailure::NotWritten)) => return Err(SendEnd::Unreachable),
         Ok(Err(SendFailure::BrokenOff)) => return Err(SendEnd::BrokenOff),
@@ -337,14 +337,14 @@
 }
 
 /// How long a send may be silent: a repeatable call goes elsewhere when another send is left.
-fn patience(call: &Call) -> Duration {
+fn max_wait(call: &Call) -> Duration {
     let left = call.deadline.since(call.traffic.now());
     let another = call.history.get().sends + 1 < call.route.max_sends;
     if !call.route.repeatable() || !another {
         // The call's own time ends first, and says what became of it.
-        return duration(left + left + PATIENCE_LEAST);
+        return duration(left + left + MAX_WAIT_LEAST);
     }
-    let usual = call.first_time().scale(PATIENCE).max(PATIENCE_LEAST);
-    let usual = usual.max(call.route.aim.scale(PATIENCE_SHARE));
+    let usual = call.first_time().scale(TIMEOUT).max(MAX_WAIT_LEAST);
+    let usual = usual.max(call.route.aim.scale(MAX_WAIT_SHARE));
     duration(usual.min(left))
 }
--- a/crates/barleyspool_gateway/src/traffic/grants.rs
+++ b/crates/barleyspool_gateway/src/traffic/grants.rs
@@ -18,13 +18,13 @@
 /// How long a target is passed over when none of them answered.
 const UNANSWERED: Span = Span::from_millis(60);
 
-/// Whether a call may go to the target that was chosen for it, and after which wait; `None` when it may not within `patience`, which is
+/// Whether a call may go to the target that was chosen for it, and after which wait; `None` when it may not within `max_wait`, which is
 /// noted for the next choice.
-pub async fn ask(traffic: &Rc<Traffic>, chosen: &Chosen, patience: Span) -> Option<Span> {
-    let room = match ask_owner(traffic, chosen, patience).await {
+pub async fn ask(traffic: &Rc<Traffic>, chosen: &Chosen, max_wait: Span) -> Option<Span> {
+    let room = match ask_owner(traffic, chosen, max_wait).await {
         Some(Grant::After(wait)) => return Some(wait),
         Some(Grant::NoRoom(wait)) => wait,
-        None => patience + UNANSWERED,
+        None => max_wait + UNANSWERED,
     };
     let now = traffic.now();
     let mut forwarder = traffic.forwarder.borrow_mut();
@@ -33,9 +33,9 @@
 }
 
 /// Asks the owner, and when it does not answer whoever stands in for it.
-async fn ask_owner(traffic: &Rc<Traffic>, chosen: &Chosen, patience: Span) -> Option<Grant> {
+async fn ask_owner(traffic: &Rc<Traffic>, chosen: &Chosen, max_wait: Span) -> Option<Grant> {
     for _ in 0..MOST_OWNERS {
-        let grant = ask_one(traffic, chosen, patience).await;
+        let grant = ask_one(traffic, chosen, max_wait).await;
         if grant.is_some() {
             return grant;
         }
@@ -43,12 +43,12 @@
     None
 }
 
-async fn ask_one(traffic: &Rc<Traffic>, chosen: &Chosen, patience: Span) -> Option<Grant> {
+async fn ask_one(traffic: &Rc<Traffic>, chosen: &Chosen, max_wait: Span) -> Option<Grant> {
     let shard = traffic.forwarder.borrow().shard_of_target(&chosen.id)?;
     let request = GrantRequest {
         target: chosen.id.clone(),
         from: traffic.plan().me,
-        patience,
+        max_wait,
     };
     match traffic.peers.owner_of(traffic, shard) {
         Owner::Me => Some(grant_here(traffic, &request)),
@@ -67,5 +67,5 @@
 pub fn grant_here(traffic: &Traffic, request: &GrantRequest) -> Grant {
     let now = traffic.now();
     let mut forwarder = traffic.forwarder.borrow_mut();
-    forwarder.grant(now, &request.target, request.from, request.patience)
+    forwarder.grant(now, &request.target, request.from, request.max_wait)
 }
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -92,7 +92,7 @@
 
 /// Lets the owner of the call's shard of engines choose one. When all of the shard have been given what they take, the owners of the
 /// other shards are asked.
-pub async fn place(call: &Call, patience: Span) -> Place {
+pub async fn place(call: &Call, max_wait: Span) -> Place {
     let traffic = &call.traffic;
     let need = call.need();
     if need.engine_memory.is_none() {
@@ -113,10 +113,10 @@
         let told = traffic
             .peers
             .no_room(traffic.now(), &id)
-            .filter(|wait| all_bounded && *wait > patience);
+            .filter(|wait| all_bounded && *wait > max_wait);
         let place = match told {
             Some(wait) => Place::NoRoom(wait),
-            None => place_in(call, &id, patience).await,
+            None => place_in(call, &id, max_wait).await,
         };
         let Place::NoRoom(wait) = place else {
             return place;
@@ -127,9 +127,9 @@
 }
 
 /// Lets the owner of one shard choose.
-async fn place_in(call: &Call, id: &PoolId, patience: Span) -> Place {
+async fn place_in(call: &Call, id: &PoolId, max_wait: Span) -> Place {
     let traffic = &call.traffic;
-    let Some(request) = request(call, id, patience) else {
+    let Some(request) = request(call, id, max_wait) else {
         return Place::Nowhere;
     };
     let key = request.call.clone();
@@ -186,7 +186,7 @@
     call.traffic.plan().engine_shard(&need.service, key)
 }
 
-fn request(call: &Call, id: &PoolId, patience: Span) -> Option<PlaceRequest> {
+fn request(call: &Call, id: &PoolId, max_wait: Span) -> Option<PlaceRequest> {
     let need = call.need();
     let forwarder = call.traffic.forwarder.borrow();
     let avoid = need.avoid.iter().filter_map(|key| forwarder.target(*key));
@@ -194,7 +194,7 @@
         call: format!("{}/{}", call.head.id, call.next_placement()),
         shard: id.shard,
         from: call.traffic.plan().me,
-        patience,
+        max_wait,
         engine_memory: need.engine_memory?,
         avoid: avoid.map(|record| record.entry.id.clone()).collect(),
         service: need.service,
@@ -231,7 +231,7 @@
         input_bytes: request.input_bytes,
         avoid,
         copies: request.copies,
-        patience: request.patience,
+        max_wait: request.max_wait,
         placing: Some(shard),
     };
     let chosen = match forwarder.place(now, &need, request.from) {
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -118,7 +118,7 @@
     /// Another node owns the pool now: what was not begun goes there.
     pub fn hand_over(&self) {
         self.queue.borrow_mut().hand_over();
-        self.tell_ended();
+        self.notify_ended();
     }
 
     /// Frees results that nobody needs any more.
@@ -133,7 +133,7 @@
     }
 
     /// Tells those who wait for orders that have ended.
-    pub fn tell_ended(&self) {
+    pub fn notify_ended(&self) {
         let ended = self.queue.borrow_mut().take_ended();
         let mut waiters = self.waiters.borrow_mut();
         for (key, end) in ended {
@@ -160,7 +160,7 @@
             };
             (calls, queue.next_wake(now))
         };
-        pool.tell_ended();
+        pool.notify_ended();
         for call in calls {
             spawn_local(run_call(Rc::clone(&traffic), Rc::clone(&pool), call));
         }
@@ -273,7 +273,7 @@
         Some(_) if done => traffic.count(Counter::Misdirected),
         _ => {}
     }
-    pool.tell_ended();
+    pool.notify_ended();
     pool.wake();
     if pool.queue.borrow().has_unneeded() {
         pool.unneeded.notify_one();
--- a/crates/barleyspool_gateway/src/traffic/pools.rs
+++ b/crates/barleyspool_gateway/src/traffic/pools.rs
@@ -83,7 +83,7 @@
         for (id, pool) in self.pools.borrow().iter() {
             update(pool, id, plan);
             // Orders whose inputs went with a run of their maker.
-            pool.tell_ended();
+            pool.notify_ended();
             pool.wake();
         }
     }
--- a/crates/barleyspool_gateway/src/traffic/read_call.rs
+++ b/crates/barleyspool_gateway/src/traffic/read_call.rs
@@ -76,7 +76,7 @@
     let limits = taken
         .map(|taken| taken.catalog.document.limits)
         .unwrap_or_default();
-    let longest = taken.map_or(limits.idle_time, |taken| patience(&taken.head, &taken.route));
+    let longest = taken.map_or(limits.idle_time, |taken| max_wait(&taken.head, &taken.route));
     let left = (arrived + longest).since(traffic.now());
     let read = Limited::new(body, limits.body_bytes).collect();
     let read = tokio::select! {
@@ -93,11 +93,11 @@
 }
 
 /// How long a call is held at the most.
-pub fn patience(head: &CallHead, route: &Route) -> Span {
+pub fn max_wait(head: &CallHead, route: &Route) -> Span {
     let route = if route.timeout == Span::ZERO {
         LONGEST
     } else {
         route.timeout
     };
-    head.patience.map_or(route, |patience| patience.min(route))
+    head.max_wait.map_or(route, |max_wait| max_wait.min(route))
 }
--- a/crates/barleyspool_gateway/src/traffic/target_choice.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_choice.rs
@@ -89,8 +89,8 @@
     if !bounded {
         return Ok(());
     }
-    let patience = ahead + call.route.aim.scale(FULL_SHARE);
-    match look(call, patience, true).await {
+    let max_wait = ahead + call.route.aim.scale(FULL_SHARE);
+    match look(call, max_wait, true).await {
         Look::At(found) => {
             let due = traffic.now() + found.0.wait;
             *call.reserved.borrow_mut() = Some(Reserved { found: *found, due });
@@ -110,17 +110,17 @@
 }
 
 /// Looks for a target once; with `ask` the owner of its engines chooses.
-async fn look(call: &Call, patience: Span, ask: bool) -> Look {
+async fn look(call: &Call, max_wait: Span, ask: bool) -> Look {
     let traffic = &call.traffic;
     if ask {
-        match placement::place(call, patience).await {
+        match placement::place(call, max_wait).await {
             Place::At(chosen, placement) => return Look::At(Box::new((chosen, Some(placement)))),
             Place::NoRoom(wait) => return Look::NoRoom(wait),
             Place::Nowhere => {}
         }
     }
     let need = Need {
-        patience,
+        max_wait,
         ..call.need()
     };
     loop {
@@ -128,7 +128,7 @@
         match choice {
             // Each question that is answered with no takes a target out of the choice.
             Choose::Send(mut chosen) if chosen.bounded => {
-                if let Some(wait) = grants::ask(traffic, &chosen, patience).await {
+                if let Some(wait) = grants::ask(traffic, &chosen, max_wait).await {
                     chosen.wait = wait;
                     return Look::At(Box::new((chosen, None)));
                 }
--- a/crates/barleyspool_gateway/src/traffic/target_limits.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_limits.rs
@@ -4,7 +4,7 @@
 use crate::edges::AnswerHead;
 use crate::event_log::Line;
 use crate::shared::Sighting;
-use barleyspool_core::{Counter, LimitWord, Time};
+use barleyspool_core::{Counter, LimitReport, Time};
 use hyper::http::response::Parts;
 use tokio::sync::mpsc;
 
@@ -36,15 +36,15 @@
     head
 }
 
-fn note(traffic: &Traffic, target: &str, (sent, call): (Time, &str), word: LimitWord) {
-    if word == LimitWord::Unreadable {
+fn note(traffic: &Traffic, target: &str, (sent, call): (Time, &str), word: LimitReport) {
+    if word == LimitReport::Unreadable {
         return traffic.count(Counter::LimitUnreadable);
     }
     let now = traffic.now();
     let heard = traffic
         .forwarder
         .borrow_mut()
-        .heard_limit(now, sent, target, word);
+        .take_limit_report(now, sent, target, word);
     let Some(heard) = heard else { return };
     // The control thread is gone only when the process ends.
     let (run, per_s) = (heard.run, heard.per_s);
--- a/crates/barleyspool_wire/src/pieces.rs
+++ b/crates/barleyspool_wire/src/pieces.rs
@@ -59,7 +59,7 @@
     /// The key of the node that asks.
     pub from: u64,
     /// How long the call may wait for an engine that takes so many calls a second and no more.
-    pub patience: Span,
+    pub max_wait: Span,
     /// The call's route.
     pub route: String,
     /// Tokens that fit into one engine.
@@ -115,7 +115,7 @@
     /// The key of the node that asks.
     pub from: u64,
     /// How long the call may wait.
-    pub patience: Span,
+    pub max_wait: Span,
 }
 
 /// How a placed call goes on.
