--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -43,14 +43,19 @@
 }
 
 impl Reading {
-    /// A node that starts at `now` and has read nothing.
-    pub fn new(now: Time) -> Self {
+    /// A node that starts at `now` and has read nothing; whether it is one of its seeds.
+    pub fn new(now: Time, seed: bool) -> Self {
+        let fleet = FleetView {
+            nodes: 1,
+            seed,
+            ..FleetView::default()
+        };
         Self {
             watch: RefCell::new(SourceWatch::new(now, rand::random())),
             audience: RefCell::default(),
             missing: [Cell::new(true), Cell::new(true)],
             first_list: FirstList::new(now, rand::random()),
-            fleet: Cell::default(),
+            fleet: Cell::new(fleet),
             failing: RefCell::default(),
             settled: Cell::new(false),
             announced: Cell::default(),
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -92,7 +92,7 @@
             seed: rand::random(),
             ..MembershipSettings::default()
         });
-        let reading = Reading::new(shared.clock.now());
+        let reading = Reading::new(shared.clock.now(), shared.settings.is_seed());
         let handout = ListHandout::new(shared.settings.link());
         Self {
             shared,
