--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -28,20 +28,21 @@
 const GATHER: Duration = Duration::from_millis(100);
 /// The largest answer, in bytes.
 const MOST_BYTES: usize = 16 << 20;
-
 /// How long a node that was busy handing out lists is not asked again while another one can be: a list takes some 0.1 s on a weak link.
 const BUSY_FOR: Span = Span::from_millis(100);
-/// The least time between two questions while this node has no list and those that have one are busy.
+/// The least time between two questions while those that have the list are busy.
 const GATHER_BUSY: Duration = Duration::from_millis(20);
 
 /// Nodes that did not answer or were busy, and until when others are asked before them.
 type Avoided = HashMap<SocketAddr, Time>;
 
-/// Asks another node whenever one has something newer, and tells others now and then how far this one is.
+/// Asks another node whenever one has something newer, and notifies others now and then of how far this one is.
 pub async fn run(state: Rc<ControlState>) {
     let mut avoided = Avoided::new();
+    let mut look = LOOK_EVERY;
     loop {
-        state.reading.until_reported(LOOK_EVERY).await;
+        state.reading.until_reported(look).await;
+        look = LOOK_EVERY;
         state.expire_targets();
         state.take_role();
         state.announce_now_and_then();
@@ -51,28 +52,38 @@
         let Some(peer) = peer_to_ask(&state, &avoided) else {
             continue;
         };
-        avoided.retain(|_, until| state.now() < *until);
-        let mut gather = GATHER;
-        match ask(&state, &peer).await {
-            Ok(known) => {
-                state.shared.count_asked(true);
-                if matches!(known.targets, Part::Busy) {
-                    avoided.insert(peer, state.now() + BUSY_FOR);
-                    gather = GATHER_BUSY;
-                }
-                take(&state, known, &peer);
-            }
-            Err(failure) => {
-                state.shared.count_asked(false);
-                let line = Line::AskFailed {
-                    peer: &peer.to_string(),
-                    cause: &failure.to_string(),
-                };
-                state.log.write(state.now(), &line);
-                avoided.insert(peer, state.now() + DOWN_FOR);
+        if ask_and_take(&state, &peer, &mut avoided).await {
+            tokio::time::sleep(GATHER).await;
+        } else {
+            tokio::time::sleep(GATHER_BUSY).await;
+            look = Duration::ZERO;
+        }
+    }
+}
+
+/// Asks a node and takes what it answers. Returns false when it was too busy to hand out its list.
+async fn ask_and_take(state: &ControlState, peer: &SocketAddr, avoided: &mut Avoided) -> bool {
+    avoided.retain(|_, until| state.now() < *until);
+    let asked = ask(state, peer).await;
+    state.shared.count_asked(asked.is_ok());
+    match asked {
+        Ok(known) => {
+            let busy = matches!(known.targets, Part::Busy);
+            if busy {
+                avoided.insert(*peer, state.now() + BUSY_FOR);
             }
+            take(state, known, peer);
+            !busy
+        }
+        Err(failure) => {
+            let line = Line::AskFailed {
+                peer: &peer.to_string(),
+                cause: &failure.to_string(),
+            };
+            state.log.write(state.now(), &line);
+            avoided.insert(*peer, state.now() + DOWN_FOR);
+            true
         }
-        tokio::time::sleep(gather).await;
     }
 }
 
