--- a/crates/barleyspool_core/src/forward/list_holder.rs
+++ b/crates/barleyspool_core/src/forward/list_holder.rs
@@ -13,6 +13,26 @@
 /// After this time a list counts as taken, or its taker as gone.
 const TAKEN_WITHIN: Span = Span::from_millis(1000);
 
+/// How long a node with a weak link leaves holders in other zones to nodes with strong ones. These have the list within some hundredths of a second, and
+/// hand it on to many at once; takers with weak links would keep the first holder busy for ten times as long.
+const FAR_WAIT: Span = Span::from_millis(300);
+
+/// A node that has no list and asks for one.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListTaker {
+    /// Its link, in Mbit/s.
+    pub link_mbps: u32,
+    /// How long it has known that others have a list.
+    pub waited: Span,
+}
+
+impl ListTaker {
+    /// Whether it asks nodes of other zones.
+    pub fn asks_far(&self) -> bool {
+        self.link_mbps >= STRONG_MBPS || self.waited >= FAR_WAIT
+    }
+}
+
 /// A node that has something newer, as the one that asks sees it.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListHolder<A> {
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -58,7 +58,7 @@
 pub use first_list::{FirstList, FleetView};
 pub use forwarder::{ForwardSettings, Forwarder, SendKey};
 pub use kept_results::handle_address;
-pub use list_holder::{HandoutKey, ListHandout, ListHolder, choose_holder};
+pub use list_holder::{HandoutKey, ListHandout, ListHolder, ListTaker, choose_holder};
 pub use need::{Choose, Chosen, Need, Shard, shard_key};
 pub use packed_list::{PackedList, UnpackError};
 pub use piece_order::{
--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -96,9 +96,9 @@
         self.role.reads || now >= self.alone_at
     }
 
-    /// The nodes that are known, this one among them.
-    pub fn nodes(&self) -> usize {
-        self.nodes
+    /// How long another node has been known to have something newer.
+    pub fn behind_for(&self, now: Time) -> Span {
+        self.ahead.map_or(Span::ZERO, |(since, _)| now.since(since))
     }
 
     /// When a node that does not read the source looks again whether it should.
--- a/crates/barleyspool_core/tests/source_reading/first_list.rs
+++ b/crates/barleyspool_core/tests/source_reading/first_list.rs
@@ -4,9 +4,9 @@
 
 use crate::net::Net;
 use barleyspool_core::{
-    FirstList, FleetView, HandoutKey, ListHandout, ListHolder, MemberEvent, MemberHealth, PackedList,
-    ReaderCandidate, Revision, SourceRole, SourceState, Span, TargetEntry, TargetRun, TargetTable, Time,
-    choose_holder, rendezvous, source_role,
+    FirstList, FleetView, HandoutKey, ListHandout, ListHolder, ListTaker, MemberEvent, MemberHealth,
+    PackedList, ReaderCandidate, Revision, SourceRole, SourceState, Span, TargetEntry, TargetRun,
+    TargetTable, Time, choose_holder, rendezvous, source_role,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -58,6 +58,8 @@
     first: FirstList,
     role: SourceRole,
     view: FleetView,
+    /// Since when it knows that others have the list.
+    knew: Option<Time>,
     next_look: Time,
     pages: usize,
     page_at: Option<Time>,
@@ -119,6 +121,7 @@
                 first: FirstList::new(starts, random.random()),
                 role: SourceRole::default(),
                 view: FleetView::default(),
+                knew: None,
                 next_look: starts,
                 pages: 0,
                 page_at: None,
@@ -210,6 +213,9 @@
         let node = &mut self.nodes[place];
         node.role = role;
         node.view = view;
+        if view.holder {
+            node.knew = node.knew.or(Some(self.net.now));
+        }
     }
 
     /// Reads the source, page by page.
@@ -281,6 +287,10 @@
         let node = &self.nodes[place];
         let members = self.net.nodes[&node.name].members();
         let holders = members.filter(|member| member.source.list != Revision(0));
+        let taker = ListTaker {
+            link_mbps: node.link_mbps,
+            waited: node.knew.map_or(Span::ZERO, |knew| now.since(knew)),
+        };
         let candidates = holders.map(|member| {
             let number = member.facts.address[1..].parse().expect("a number");
             ListHolder {
@@ -290,6 +300,7 @@
                 link_mbps: member.facts.link_mbps,
             }
         });
+        let candidates = candidates.filter(|holder| taker.asks_far() || !holder.far);
         choose_holder(candidates, &mut self.random)
     }
 
--- a/crates/barleyspool_core/tests/whole_lists.rs
+++ b/crates/barleyspool_core/tests/whole_lists.rs
@@ -4,8 +4,8 @@
 #![allow(clippy::expect_used, reason = "a test stops where it fails")]
 
 use barleyspool_core::{
-    FirstList, FleetView, ListHandout, ListHolder, PackedList, Span, TargetEntry, TargetRun, TargetTable,
-    Time, choose_holder, hold_until,
+    FirstList, FleetView, ListHandout, ListHolder, ListTaker, PackedList, Span, TargetEntry, TargetRun,
+    TargetTable, Time, choose_holder, hold_until,
 };
 use quickcheck::quickcheck;
 use rand::SeedableRng;
@@ -124,6 +124,17 @@
     assert_eq!(choose(&[]), None);
 }
 
+#[test]
+fn a_node_with_a_weak_link_leaves_other_zones_to_strong_ones_for_a_moment() {
+    let taker = |link_mbps, waited| ListTaker {
+        link_mbps,
+        waited: Span::from_millis(waited),
+    };
+    assert!(!taker(20, 0).asks_far());
+    assert!(taker(200, 0).asks_far());
+    assert!(taker(20, 300).asks_far(), "its zone may have no strong node");
+}
+
 // ----------------------------------------------------------------------------
 // Reading the first list
 
--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -4,7 +4,9 @@
 use super::state::{ControlState, Origin};
 use crate::edges::Feed;
 use crate::event_log::Line;
-use barleyspool_core::{ListHolder, Member, MemberHealth, PackedList, Revision, Span, Time, choose_holder};
+use barleyspool_core::{
+    ListHolder, ListTaker, Member, MemberHealth, PackedList, Revision, Span, Time, choose_holder,
+};
 use barleyspool_wire::net;
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -90,7 +92,13 @@
 /// The relay address of the node to ask now, if any has something newer.
 fn peer_to_ask(state: &ControlState, avoided: &Avoided) -> Option<SocketAddr> {
     let held = state.held();
-    let zone = &state.shared.settings.zone;
+    let settings = &state.shared.settings;
+    let taker = ListTaker {
+        link_mbps: settings.link(),
+        waited: state.reading.behind_for(state.now()),
+    };
+    // Differences are small, so they come from anywhere.
+    let asks_far = state.targets_known.get() || taker.asks_far();
     let membership = state.membership.borrow();
     let answers = |member: &&Member| {
         let up = matches!(member.health, MemberHealth::Alive | MemberHealth::Leaving);
@@ -99,15 +107,16 @@
     let holder = |member: &Member| {
         let address: SocketAddr = member.facts.address.parse().ok()?;
         // All nodes use the same ports.
-        let relay = SocketAddr::new(address.ip(), state.shared.settings.relay.port());
+        let relay = SocketAddr::new(address.ip(), settings.relay.port());
         Some(ListHolder {
             address: relay,
             avoided: avoided.get(&relay).is_some_and(|until| state.now() < *until),
-            far: member.facts.zone != *zone,
+            far: member.facts.zone != settings.zone,
             link_mbps: member.facts.link_mbps,
         })
     };
     let holders = membership.members().filter(answers).filter_map(holder);
+    let holders = holders.filter(|holder| asks_far || !holder.far);
     choose_holder(holders, &mut rand::rng())
 }
 
@@ -163,7 +172,7 @@
     let changed = match known.targets {
         Part::Same => false,
         Part::Changes(changes) => state.apply_targets(at, changes, from),
-        Part::Whole(list) => take_list(state, at, list, from),
+        Part::Whole(list) => take_list(state, at, &list, from),
         // Asked again, or another node.
         Part::Unknown | Part::Busy => false,
     };
@@ -173,8 +182,10 @@
 }
 
 /// Takes a whole list. Returns whether it is another one than before.
-fn take_list(state: &ControlState, at: Revision, list: PackedList, from: Origin) -> bool {
-    match list.unpack() {
+fn take_list(state: &ControlState, at: Revision, bytes: &[u8], from: Origin) -> bool {
+    let unreadable = |error: &dyn ToString| AskFailure::Unreadable(error.to_string());
+    let list = rmp_serde::from_slice::<PackedList>(bytes).map_err(|error| unreadable(&error));
+    match list.and_then(|list| list.unpack().map_err(|error| unreadable(&error))) {
         Ok(table) => {
             state.reading.has_read(Feed::Targets);
             state.replace_targets(at, table, from)
--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -72,6 +72,11 @@
         watch.is_short_poller() || !watch.is_reader()
     }
 
+    /// How long another node has been known to have something newer.
+    pub fn behind_for(&self, now: Time) -> Span {
+        self.watch.borrow().behind_for(now)
+    }
+
     /// Waits until the watch of a feed may hear nothing any more, or should be a shorter one.
     pub async fn watch_suspect(&self, feed: Feed) {
         self.suspect[feed as usize].notified().await;
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
@@ -44,8 +45,8 @@
     pub evacuations: Evacuations,
     /// The revision of the list of targets.
     pub at: Revision,
-    /// The list.
-    pub targets: Part<PackedList, TargetChange>,
+    /// The list; as a whole it is a [`PackedList`].
+    pub targets: Part<ByteBuf, TargetChange>,
     /// Entries of the list that are missing at the source and may come back.
     pub lapsing: Lapsing,
 }
@@ -117,7 +118,7 @@
     state: &ControlState,
     held: Held,
     handed_out: &mut Option<HandoutKey>,
-) -> Part<PackedList, TargetChange> {
+) -> Part<ByteBuf, TargetChange> {
     let targets = state.targets.borrow();
     if !state.targets_known.get() || targets.at <= held.list {
         return Part::Same;
@@ -126,8 +127,29 @@
         return Part::Changes(changes);
     }
     *handed_out = state.handout.borrow_mut().admit(state.now());
-    match handed_out {
-        Some(_) => Part::Whole(PackedList::pack(&targets.table)),
-        None => Part::Busy,
+    let list = handed_out.and_then(|_| packed(state));
+    list.map_or(Part::Busy, Part::Whole)
+}
+
+/// The whole list, packed once for all who take it at one revision; `None` when it cannot be.
+fn packed(state: &ControlState) -> Option<ByteBuf> {
+    let targets = state.targets.borrow();
+    let mut packed = state.packed.borrow_mut();
+    if let Some((at, bytes)) = &*packed
+        && *at == targets.at
+    {
+        return Some(bytes.clone());
+    }
+    let list = PackedList::pack(&targets.table);
+    match rmp_serde::to_vec(&list) {
+        Ok(bytes) => {
+            let bytes = ByteBuf::from(bytes);
+            *packed = Some((targets.at, bytes.clone()));
+            Some(bytes)
+        }
+        Err(cause) => {
+            state.skipped("targets", &cause.to_string());
+            None
+        }
     }
 }
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -5,8 +5,10 @@
 use crate::shared::Shared;
 use barleyspool_core::{
     CatalogStore, Evacuations, Evidence, ForwardPlan, Incarnation, ListHandout, MemberAction, MemberEvent,
-    MemberFacts, MemberHealth, MemberView, Membership, MembershipSettings, TargetStore, Time, rendezvous,
+    MemberFacts, MemberHealth, MemberView, Membership, MembershipSettings, Revision, TargetStore, Time,
+    rendezvous,
 };
+use serde_bytes::ByteBuf;
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -62,6 +64,8 @@
     members_changed: Notify,
     /// What this node does at the source.
     pub reading: Reading,
+    /// The list as it is handed out whole, and the revision at which it stands.
+    pub packed: RefCell<Option<(Revision, ByteBuf)>>,
     /// Whole lists that other nodes are taking from this one.
     pub handout: RefCell<ListHandout>,
     /// Whether the nodes that are known are likely to be all there are.
@@ -106,6 +110,7 @@
             outbox_filled: Notify::new(),
             members_changed: Notify::new(),
             reading,
+            packed: RefCell::default(),
             handout: RefCell::new(handout),
             settled: Cell::new(false),
             last_answers: Cell::new(None),
