A target that says in an answer that it leaves gets nothing more, by any path and from any node

What callers saw: calls went to an engine that was about to end, up to ten seconds after its answers had said so; the list, whose source was away, called it ready. Cause: the head of an answer was read for its call, its connection, its load and its limit, and for nothing else. That a target leaves was known from the list alone. Change: all heads are read in one place, target_reports. The run goes to the control thread, which marks the entry (TargetStore::note_leaving), so that every decision sees it in the next plan. Nodes notify each other as of limits. The mark holds whatever the entry says next, until the run is gone. A target that was set aside for a call before its stages is looked at again before the call is sent. Beside it: one function picks the nodes that are told something, which stood three times.

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -6,7 +6,7 @@
     TargetKey, TargetRecord, TargetTable,
 };
 use crate::chart::{Chart, ChartError};
-use crate::{LimitTable, Ownership, Reach, Span, TARGET_CHART, TargetEvent, TargetPhase, Time};
+use crate::{LimitTable, Ownership, Reach, RunMark, Span, TARGET_CHART, TargetEvent, TargetPhase, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
@@ -220,6 +220,13 @@
         self.by_id.get(id).copied()
     }
 
+    /// The run of a target that said in the answer to a request sent at `sent` that it leaves; `None` when the list has it so already, or has a later run.
+    pub fn leaving_run(&self, sent: Time, id: &str) -> Option<RunMark> {
+        let record = self.targets.get(*self.by_id.get(id)?)?;
+        let entry = &record.entry;
+        (!entry.leaving && sent >= entry.times.restarted).then_some(record.mark)
+    }
+
     /// What is known of one target.
     pub fn target(&self, key: TargetKey) -> Option<&TargetRecord> {
         self.targets.get(key)
--- a/crates/barleyspool_core/src/forward/plan.rs
+++ b/crates/barleyspool_core/src/forward/plan.rs
@@ -1,7 +1,7 @@
 //! What the control thread hands to the traffic thread for forwarded calls.
 
 use super::{Catalog, PoolShards, ServiceTargets, Shard, TargetEntry, TargetTable, handle_address};
-use crate::{LimitTable, Reach, RunMark, Time};
+use crate::{LimitTable, Reach, Time};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -78,8 +78,7 @@
 
     /// How many listed targets name a limit.
     pub fn limited(&self) -> usize {
-        let mark = |entry: &TargetEntry| RunMark::of(&entry.id, entry.run.0);
-        let named = |entry: &&TargetEntry| self.limits.named(mark(entry)).is_some();
+        let named = |entry: &&TargetEntry| self.limits.named(entry.mark()).is_some();
         self.targets.values().filter(named).count()
     }
 
--- a/crates/barleyspool_core/src/forward/target_entry.rs
+++ b/crates/barleyspool_core/src/forward/target_entry.rs
@@ -1,6 +1,6 @@
 //! Targets as the platform lists them.
 
-use crate::{Span, Time};
+use crate::{RunMark, Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -78,6 +78,11 @@
         }
     }
 
+    /// The mark of its run.
+    pub fn mark(&self) -> RunMark {
+        RunMark::of(&self.id, self.run.0)
+    }
+
     /// Whether new work may go there. Every decision asks this and keeps no opinion of its own, so that a target that is
     /// taken out gets nothing by any way. What it is working on ends by itself.
     pub fn takes_work(&self) -> bool {
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -64,7 +64,7 @@
     pub fn new(entry: TargetEntry) -> Self {
         Self {
             hash: rendezvous::text_key(&entry.id),
-            mark: RunMark::of(&entry.id, entry.run.0),
+            mark: entry.mark(),
             entry,
             phase: TargetPhase::Live,
             in_flight: 0,
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -1,8 +1,8 @@
 //! The list of targets that the platform last told, itself or by way of other nodes.
 
 use super::target_log::TargetLog;
-use super::{ForwardPlan, ServiceTargets, TargetEntry, TargetRun, TargetTable, service_targets};
-use crate::{Revision, Span, Time};
+use super::{ForwardPlan, LeavingRuns, ServiceTargets, TargetEntry, TargetRun, TargetTable, service_targets};
+use crate::{Revision, RunMark, Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -53,6 +53,8 @@
     back_until: Time,
     /// The zones that are evacuated.
     evacuated: BTreeSet<String>,
+    /// Runs that have said in an answer that they leave.
+    said_leaving: LeavingRuns,
     /// Targets that are gone, by id.
     past: BTreeMap<String, Past>,
     /// How it came to be, for nodes that know an older one.
@@ -147,6 +149,24 @@
         self.changed(!ids.is_empty())
     }
 
+    /// A run of a target has said in an answer that it leaves; true when that is new to the list. It is no change of what the source tells, so
+    /// other nodes have nothing to ask for.
+    pub fn note_leaving(&mut self, now: Time, run: RunMark) -> bool {
+        let listed = self.table.values().map(|entry| (entry.mark(), entry));
+        let listed: HashMap<RunMark, &TargetEntry> = listed.collect();
+        self.said_leaving.forget(now, |run| listed.contains_key(&run));
+        self.said_leaving.note(now, run);
+        let staying = listed.get(&run).filter(|entry| !entry.leaving);
+        let Some(id) = staying.map(|entry| entry.id.clone()) else {
+            return false;
+        };
+        if let Some(entry) = Arc::make_mut(&mut self.table).get_mut(&id) {
+            entry.leaving = true;
+        }
+        self.take_apart();
+        true
+    }
+
     /// What turns the list as it stood at `revision` into this one; `None` when that is not known any more.
     pub fn changes_since(&self, revision: Revision) -> Option<Vec<TargetChange>> {
         self.log.since(revision)
@@ -230,6 +250,7 @@
         if last.is_some_and(|last| word.is_older(last)) {
             return known.cloned();
         }
+        word.leaving |= self.has_said_leaving(&word);
         word.evacuated = self.evacuated.contains(&word.zone);
         word.times = known.map(|known| known.times).unwrap_or_default();
         match last {
@@ -252,6 +273,11 @@
         Some(word)
     }
 
+    /// Whether the run of which an entry tells has said in an answer that it leaves.
+    fn has_said_leaving(&self, entry: &TargetEntry) -> bool {
+        !self.said_leaving.is_empty() && self.said_leaving.contains(entry.mark())
+    }
+
     /// Whether an entry that is missing now is kept for a while, because it may have lapsed.
     fn keeps(&mut self, now: Time, id: &str) -> bool {
         if now < self.back_until {
@@ -263,12 +289,17 @@
     fn changed(&mut self, changed: bool) -> bool {
         if changed {
             self.changed_at = self.at;
-            self.zones = Arc::new(ForwardPlan::zones_of(&self.table));
-            self.restarts = Arc::new(ForwardPlan::restarts_of(&self.table));
-            self.services = Arc::new(service_targets(&self.table));
+            self.take_apart();
         }
         changed
     }
+
+    /// Works out what is looked up in the list, after a change of it.
+    fn take_apart(&mut self) {
+        self.zones = Arc::new(ForwardPlan::zones_of(&self.table));
+        self.restarts = Arc::new(ForwardPlan::restarts_of(&self.table));
+        self.services = Arc::new(service_targets(&self.table));
+    }
 }
 
 /// What turns one list into another.
--- a/crates/barleyspool_core/src/membership/crash_updates.rs
+++ b/crates/barleyspool_core/src/membership/crash_updates.rs
@@ -8,7 +8,6 @@
 use super::table::Membership;
 use super::{Member, MemberAction, MemberHealth, MemberQuestion};
 use crate::{CallPrint, CrashTable, CrashUpdate, Learnt, RunMark, Time, rendezvous};
-use rand::seq::IteratorRandom;
 use std::collections::{HashMap, VecDeque};
 
 /// Nodes that hear of every end under a call, in different zones. A zone may be lost, and another datagram, without anything being
@@ -80,8 +79,7 @@
         self.crashes.turn.retain(|known| *known != print);
         self.crashes.turn.push_front(print);
         self.actions.push(MemberAction::CallsRefused);
-        let others: Vec<String> = self.reachable().collect();
-        let told = others.into_iter().choose_multiple(&mut self.random, told);
+        let told = self.some_reachable(told);
         self.notify_crash(now, print, told);
     }
 
--- a/crates/barleyspool_core/src/membership/event.rs
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -35,6 +35,11 @@
         /// The calls a second that it takes from all nodes; `None` when it limits nothing any more.
         per_s: Option<f64>,
     },
+    /// An answer of a target said that it leaves.
+    TargetLeaves {
+        /// The run of the target.
+        run: RunMark,
+    },
     /// A planned stop begins.
     Leave,
     /// New seeds are in the settings.
@@ -60,6 +65,11 @@
     },
     /// There is another call that gets no target for a while, or one that gets none for longer.
     CallsRefused,
+    /// A target has said that it leaves, in an answer to this node or another one.
+    TargetLeaves {
+        /// The run of the target.
+        run: RunMark,
+    },
     /// Targets take more or less than was known.
     LimitsChanged,
     /// More or fewer of the nodes are heard.
--- /dev/null
+++ b/crates/barleyspool_core/src/membership/leaving_updates.rs
@@ -0,0 +1,85 @@
+//! Telling other nodes which targets have said in an answer that they leave.
+//!
+//! The node that reads it notifies some others at once, who pass it on. While any is remembered each node also tells one other in
+//! each round, so that nodes that start, sleep or are cut off learn what they missed.
+
+use super::table::Membership;
+use super::{MemberAction, MemberQuestion};
+use crate::{LeavingRuns, LeavingUpdate, RunMark, Time};
+use std::collections::VecDeque;
+
+/// Nodes that are notified at once by the one that reads an answer.
+const NOTIFIED_FIRST: usize = 16;
+/// Nodes that are notified at once by each that learns it from another.
+const NOTIFIED_NEXT: usize = 4;
+/// Updates in one message, some 10 bytes each.
+const IN_MESSAGE: usize = 32;
+
+/// What this node knows and passes on of targets that leave.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Leaving {
+    runs: LeavingRuns,
+    /// The runs in the order in which they are passed on; each in turn.
+    turn: VecDeque<RunMark>,
+}
+
+impl Membership {
+    /// Runs of targets that have said in an answer, here or at another node, that they leave.
+    pub fn leaving_runs(&self) -> &LeavingRuns {
+        &self.leaving.runs
+    }
+
+    /// This node has read in an answer that a run of a target leaves.
+    pub(super) fn target_leaves(&mut self, now: Time, run: RunMark) {
+        if self.leaving.runs.note(now, run) {
+            self.spread_leaving(now, run, NOTIFIED_FIRST);
+        }
+    }
+
+    /// Takes what another node passes on.
+    pub(super) fn take_leaving(&mut self, now: Time, updates: &[LeavingUpdate]) {
+        for update in updates {
+            if self.leaving.runs.take(now, *update) {
+                self.spread_leaving(now, update.run, NOTIFIED_NEXT);
+            }
+        }
+    }
+
+    /// Tells one other node some of what is known, in turn.
+    pub(super) fn leaving_round(&mut self, now: Time) {
+        if self.leaving.runs.is_empty() {
+            return;
+        }
+        self.leaving.runs.forget(now, |_| false);
+        for to in self.some_reachable(1) {
+            self.share_leaving(now, &to);
+        }
+    }
+
+    /// Tells a node some of what is known, in turn.
+    pub(super) fn share_leaving(&mut self, now: Time, to: &str) {
+        let mut updates = Vec::new();
+        for _ in 0..self.leaving.turn.len().min(IN_MESSAGE) {
+            let Some(run) = self.leaving.turn.pop_front() else {
+                break;
+            };
+            if let Some(update) = self.leaving.runs.update_of(now, run) {
+                updates.push(update);
+                self.leaving.turn.push_back(run);
+            }
+        }
+        if !updates.is_empty() {
+            self.notify(to.to_owned(), MemberQuestion::Leaving { updates }, Vec::new());
+        }
+    }
+
+    fn spread_leaving(&mut self, now: Time, run: RunMark, nodes: usize) {
+        self.actions.push(MemberAction::TargetLeaves { run });
+        self.leaving.turn.push_front(run);
+        let updates: Vec<LeavingUpdate> = self.leaving.runs.update_of(now, run).into_iter().collect();
+        for to in self.some_reachable(nodes) {
+            let updates = updates.clone();
+            self.notify(to, MemberQuestion::Leaving { updates }, Vec::new());
+        }
+    }
+}
--- a/crates/barleyspool_core/src/membership/limit_updates.rs
+++ b/crates/barleyspool_core/src/membership/limit_updates.rs
@@ -7,7 +7,6 @@
 use super::table::Membership;
 use super::{MemberAction, MemberQuestion};
 use crate::{LimitReport, LimitTable, LimitUpdate, RunMark, Time};
-use rand::seq::IteratorRandom;
 use std::collections::VecDeque;
 
 /// Nodes that are told at once by the one that reads an answer.
@@ -60,8 +59,7 @@
             return;
         }
         self.limits.table.forget(now);
-        let others: Vec<String> = self.reachable().collect();
-        if let Some(to) = others.into_iter().choose(&mut self.random) {
+        for to in self.some_reachable(1) {
             self.share_limits(now, &to);
         }
     }
@@ -87,8 +85,7 @@
     fn spread_limit(&mut self, now: Time, run: RunMark, told: usize) {
         self.limits.turn.retain(|known| *known != run);
         self.limits.turn.push_front(run);
-        let others: Vec<String> = self.reachable().collect();
-        let told = others.into_iter().choose_multiple(&mut self.random, told);
+        let told = self.some_reachable(told);
         let update = self.limits.table.update_of(now, run);
         self.send_limits(told, update.as_slice());
     }
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -1,7 +1,7 @@
 //! What nodes say to each other about who is there.
 
 use super::{MemberFacts, MemberHealth, SourceState};
-use crate::{CrashUpdate, Incarnation, LimitUpdate};
+use crate::{CrashUpdate, Incarnation, LeavingUpdate, LimitUpdate};
 use serde::{Deserialize, Serialize};
 
 /// What one node knows of another, passed on.
@@ -52,6 +52,11 @@
         /// Their words.
         updates: Vec<LimitUpdate>,
     },
+    /// Targets that have said in an answer that they leave.
+    Leaving {
+        /// Their runs.
+        updates: Vec<LeavingUpdate>,
+    },
     /// Nothing but the updates.
     Update,
     /// The sender reads the source, and this is how far.
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -7,6 +7,7 @@
 mod catch_up;
 mod crash_updates;
 mod event;
+mod leaving_updates;
 mod limit_updates;
 mod member;
 mod message;
--- a/crates/barleyspool_core/src/membership/probes.rs
+++ b/crates/barleyspool_core/src/membership/probes.rs
@@ -26,6 +26,7 @@
         self.next_round = now + self.settings.round.scale(pace);
         self.notice_reach(now);
         self.limits_round(now);
+        self.leaving_round(now);
         if let Some(target) = self.next_target() {
             self.probe(now, target, None);
         }
--- a/crates/barleyspool_core/src/membership/receive.rs
+++ b/crates/barleyspool_core/src/membership/receive.rs
@@ -18,8 +18,10 @@
             member.source = message.source;
             // Only of members: what they say keeps calls from targets.
             self.take_crashes(now, &message.crashes);
-            if let MemberQuestion::Limits { updates } = &message.question {
-                self.take_limits(now, updates);
+            match &message.question {
+                MemberQuestion::Limits { updates } => self.take_limits(now, updates),
+                MemberQuestion::Leaving { updates } => self.take_leaving(now, updates),
+                _ => {}
             }
             self.source_reported(message.source, message.question == MemberQuestion::Announce);
         }
@@ -35,9 +37,13 @@
             MemberQuestion::Join { known } => {
                 self.share(now, from, &known);
                 self.share_limits(now, from);
+                self.share_leaving(now, from);
             }
             MemberQuestion::Share { members } => self.shared(from, members),
-            MemberQuestion::Limits { .. } | MemberQuestion::Update | MemberQuestion::Announce => {}
+            MemberQuestion::Limits { .. }
+            | MemberQuestion::Leaving { .. }
+            | MemberQuestion::Update
+            | MemberQuestion::Announce => {}
         }
     }
 
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -2,6 +2,7 @@
 
 use super::catch_up::CatchUp;
 use super::crash_updates::Crashes;
+use super::leaving_updates::Leaving;
 use super::limit_updates::Limits;
 use super::update_queue::UpdateQueue;
 use super::{
@@ -39,6 +40,7 @@
     pub(super) catch_up: CatchUp,
     pub(super) crashes: Crashes,
     pub(super) limits: Limits,
+    pub(super) leaving: Leaving,
     pub(super) reach: Reach,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) turn: VecDeque<String>,
@@ -69,6 +71,7 @@
             catch_up: CatchUp::default(),
             crashes: Crashes::default(),
             limits: Limits::default(),
+            leaving: Leaving::default(),
             reach: Reach::default(),
             members: BTreeMap::new(),
             probes: HashMap::new(),
@@ -96,6 +99,7 @@
             MemberEvent::Announce(audience) => self.announce(audience),
             MemberEvent::Crashed { print, run } => self.crashed(now, print, run),
             MemberEvent::LimitReceived { run, per_s } => self.limit_received(now, run, per_s),
+            MemberEvent::TargetLeaves { run } => self.target_leaves(now, run),
             MemberEvent::Leave => self.leave(),
             MemberEvent::Seeds(seeds) => self.settings.seeds = seeds,
         }
@@ -171,10 +175,7 @@
 
     /// Notifies some others at once of what this node says of itself, and nothing else; they pass it on.
     pub(super) fn notify_some(&mut self) {
-        let everybody: Vec<String> = self.reachable().collect();
-        let most = self.settings.most_updates * 4;
-        let told: Vec<String> = everybody.into_iter().choose_multiple(&mut self.random, most);
-        for address in told {
+        for address in self.some_reachable(self.settings.most_updates * 4) {
             self.notify(address, MemberQuestion::Update, Vec::new());
         }
     }
@@ -241,6 +242,12 @@
             .map(|(address, _)| address.clone())
     }
 
+    /// Nodes that can be told something, chosen at random, so many at the most.
+    pub(super) fn some_reachable(&mut self, most: usize) -> Vec<String> {
+        let reachable: Vec<String> = self.reachable().collect();
+        reachable.into_iter().choose_multiple(&mut self.random, most)
+    }
+
     pub(super) fn send(&mut self, now: Time, to: String, question: MemberQuestion) {
         let mut updates = vec![self.me.clone()];
         // What a node is thought of comes first to itself, so that it can refute.
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod gossip;
+mod leaving;
 mod limits;
 mod net;
 
--- a/crates/barleyspool_core/tests/membership/net.rs
+++ b/crates/barleyspool_core/tests/membership/net.rs
@@ -80,7 +80,10 @@
                     self.told.push((from.to_owned(), source, reads));
                     continue;
                 }
-                MemberAction::CallsRefused | MemberAction::LimitsChanged | MemberAction::ReachChanged => {
+                MemberAction::CallsRefused
+                | MemberAction::TargetLeaves { .. }
+                | MemberAction::LimitsChanged
+                | MemberAction::ReachChanged => {
                     continue;
                 }
                 MemberAction::Changed { .. } => {
--- a/crates/barleyspool_core/tests/target_lives.rs
+++ b/crates/barleyspool_core/tests/target_lives.rs
@@ -75,6 +75,58 @@
     assert_eq!(store.table["1"].times.restarted, at(10));
 }
 
+/// Guards against an entry that calls a target ready after one of its answers has said that it leaves.
+#[test]
+fn a_run_that_said_in_an_answer_that_it_leaves_stays_so_whatever_its_entry_says() {
+    for run in [0, 1000] {
+        let mut store = store(&[entry("1", run, 5), entry("2", run, 5)]);
+        let changed_at = store.changed_at;
+        assert!(store.note_leaving(at(10), entry("1", run, 0).mark()));
+        assert!(!store.note_leaving(at(11), entry("1", run, 0).mark()));
+        assert_eq!(store.changed_at, changed_at, "the source has told nothing new");
+        assert_eq!(store.services["s"].working, 1);
+        let ready = |sequence| TargetEntry {
+            slots: 7,
+            ..entry("1", run, sequence)
+        };
+        put(&mut store, at(20), ready(6));
+        assert!(!store.table["1"].takes_work());
+        store.replace(at(30), Revision(90), table(&[ready(7), entry("2", run, 6)]));
+        assert!(!store.table["1"].takes_work());
+        store.apply(at(40), Revision(91), vec![TargetChange::Gone("1".to_owned())]);
+        put(&mut store, at(50), ready(8));
+        assert!(!store.table["1"].takes_work(), "its entry had lapsed");
+        assert!(store.table["2"].takes_work());
+    }
+}
+
+/// Guards against a target that is never used again because the run before it left.
+#[test]
+fn the_run_after_one_that_said_it_leaves_gets_work() {
+    let mut store = store(&[entry("1", 1000, 5)]);
+    store.note_leaving(at(10), entry("1", 1000, 0).mark());
+    put(&mut store, at(20), entry("1", 2000, 1));
+    assert!(store.table["1"].takes_work());
+    let mut forwarder = Forwarder::new(ForwardSettings::default()).expect("the chart is right");
+    forwarder.take_plan(&plan(&store));
+    let run = entry("1", 2000, 0).mark();
+    assert_eq!(
+        forwarder.leaving_run(at(19), "1"),
+        None,
+        "an answer of the run before"
+    );
+    assert_eq!(forwarder.leaving_run(at(21), "1"), Some(run));
+}
+
+/// Guards against answers that are read before the entry of their target is listed.
+#[test]
+fn a_run_that_is_listed_after_it_was_read_to_leave_gets_nothing() {
+    let mut store = store(&[entry("2", 0, 1)]);
+    assert!(!store.note_leaving(at(10), entry("1", 0, 0).mark()));
+    put(&mut store, at(20), entry("1", 0, 1));
+    assert!(!store.table["1"].takes_work());
+}
+
 #[test]
 fn a_word_of_an_earlier_run_or_an_earlier_word_of_the_same_run_changes_nothing() {
     let mut store = store(&[entry("1", 2000, 1)]);
--- a/crates/barleyspool_gateway/src/control/members.rs
+++ b/crates/barleyspool_gateway/src/control/members.rs
@@ -52,6 +52,7 @@
     while let Some(sighting) = sightings.recv().await {
         state.step_members(match sighting {
             Sighting::Ended { print, run } => MemberEvent::Crashed { print, run },
+            Sighting::Leaves { run } => MemberEvent::TargetLeaves { run },
             Sighting::Limit { run, per_s } => MemberEvent::LimitReceived { run, per_s },
         });
     }
--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -4,8 +4,8 @@
 use crate::edges::{Feed, SourceChange};
 use crate::event_log::Line;
 use barleyspool_core::{
-    CatalogChange, CatalogDocument, CatalogStore, Lapsing, Offered, Revision, TargetChange, TargetCounts,
-    TargetEntry, TargetTable,
+    CatalogChange, CatalogDocument, CatalogStore, Lapsing, Offered, Revision, RunMark, TargetChange,
+    TargetCounts, TargetEntry, TargetTable,
 };
 use std::collections::BTreeSet;
 
@@ -155,6 +155,17 @@
         }
     }
 
+    /// Runs of targets have said in answers that they leave.
+    pub fn note_leaving(&self, runs: &[RunMark]) {
+        let now = self.now();
+        let mut targets = self.targets.borrow_mut();
+        let noted = runs.iter().filter(|run| targets.note_leaving(now, **run)).count();
+        drop(targets);
+        if noted > 0 {
+            self.targets_changed(Origin::Answers);
+        }
+    }
+
     /// An item of the source cannot be read.
     pub fn skipped(&self, key: &str, cause: &str) {
         self.log.write(self.now(), &Line::ItemSkipped { key, cause });
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -25,6 +25,8 @@
     Source,
     /// Another node, at this address.
     Node(&'a str),
+    /// Targets themselves, in their answers to this node or another one.
+    Answers,
     /// Time: entries did not come back after an outage of the source.
     Lapse,
 }
@@ -35,6 +37,7 @@
         match self {
             Self::Source => "source",
             Self::Node(address) => address,
+            Self::Answers => "answers",
             Self::Lapse => "lapsed",
         }
     }
@@ -148,11 +151,13 @@
         if actions.is_empty() && !changed {
             return;
         }
+        let mut leaving = Vec::new();
         for action in actions {
             match action {
                 MemberAction::Send { .. } => self.outbox.borrow_mut().push(action),
                 MemberAction::Told { source, reads } => self.source_reported(source, reads),
                 MemberAction::CallsRefused => self.publish_refused(now),
+                MemberAction::TargetLeaves { run } => leaving.push(run),
                 MemberAction::ReachChanged => changed = true,
                 MemberAction::LimitsChanged => {
                     changed = true;
@@ -181,6 +186,7 @@
             }
         }
         self.outbox_filled.notify_one();
+        self.note_leaving(&leaving);
         if changed {
             self.members_changed.notify_one();
         }
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -75,6 +75,8 @@
     pub load: Option<LoadReport>,
     /// How long it keeps the connection open at rest, if it tells.
     pub keep: Option<Span>,
+    /// Whether it is on its way out.
+    pub leaving: bool,
     /// Whether it limits what it takes.
     pub limit: LimitReport,
 }
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -161,6 +161,15 @@
         /// Whether it counts against the call: not when targets have answered the same call lately.
         counts: bool,
     },
+    /// The answer of a target said that it leaves, which this node did not know.
+    TargetLeaves {
+        /// The target's id.
+        target: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// The call whose answer said so; empty for pieces.
+        id: &'a str,
+    },
     /// The answer of a target named another limit than before.
     TargetLimit {
         /// The target's id.
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     Counter::Undelivered,
     Counter::Cancelled,
     Counter::Quarantined,
+    Counter::ToldLeaving,
     Counter::TargetEnded,
     Counter::LimitUnreadable,
 ];
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -17,6 +17,11 @@
         /// The run.
         run: RunMark,
     },
+    /// An answer said that it leaves.
+    Leaves {
+        /// The run.
+        run: RunMark,
+    },
     /// An answer said what it takes.
     Limit {
         /// The run.
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -12,7 +12,7 @@
 use super::stream_relay::{self, Relay};
 use super::target_choice::choose;
 use super::target_ends;
-use super::target_limits;
+use super::target_reports::{self, Asked};
 use crate::edges::AnswerHead;
 use crate::event_log::Line;
 use crate::failure::CallFailure;
@@ -301,7 +301,12 @@
         Err(_) => return Err(SendEnd::Silent),
     };
     let (parts, body) = response.into_parts();
-    let head = target_limits::read_head(traffic, &chosen.id, (sent_at, &call.head.id), &parts);
+    let asked = Asked {
+        target: &chosen.id,
+        call: &call.head.id,
+        sent: sent_at,
+    };
+    let head = target_reports::read_head(traffic, asked, &parts);
     if head.id.as_deref() != Some(call.head.id.as_str()) && !head.misdirected && !head.not_run {
         traffic.count(Counter::Misdirected);
         return Err(SendEnd::BrokenOff);
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -25,7 +25,7 @@
 mod stream_relay;
 mod target_choice;
 mod target_ends;
-mod target_limits;
+mod target_reports;
 
 pub use relayed_stream::{RelayItem, RelayedStream};
 
@@ -45,7 +45,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use target_ends::TargetEnds;
-use target_limits::TargetLimits;
+use target_reports::TargetReports;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
@@ -84,8 +84,8 @@
     pub pace: RefCell<StagePace>,
     /// Which calls targets end under.
     pub ends: TargetEnds,
-    /// Which targets limit what they take.
-    pub limits: TargetLimits,
+    /// What targets say of themselves in answers.
+    pub reports: TargetReports,
 }
 
 impl Traffic {
@@ -160,7 +160,7 @@
         planned: RefCell::default(),
         pace: RefCell::default(),
         ends: TargetEnds::new(sightings.clone()),
-        limits: TargetLimits::new(sightings),
+        reports: TargetReports::new(sightings),
     });
     traffic.take_plan();
     let mut tasks = EssentialTasks::default();
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -4,12 +4,12 @@
 use super::callers::duration;
 use super::connections::{Connection, SendFailure};
 use super::pools::PoolId;
-use super::target_limits;
+use super::target_reports::{self, Asked};
 use crate::edges::AnswerHead;
 use crate::event_log::Line;
 use barleyspool_core::{
     CallKey, CallOutcome, Counter, OrderEnd, OrderKey, PieceAsk, PieceCall, PieceOrder, PieceOutcome,
-    PieceQueue, PoolSpec, Span,
+    PieceQueue, PoolSpec, Span, Time,
 };
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -295,6 +295,14 @@
     }
 }
 
+fn pieces_asked(target: &str, sent: Time) -> Asked<'_> {
+    Asked {
+        target,
+        call: "",
+        sent,
+    }
+}
+
 async fn send_call(traffic: &Traffic, call: &PieceCall) -> CallAnswer {
     let sent_at = traffic.now();
     let (path, body) = (traffic.edges.pool.run)(&call.asks);
@@ -311,7 +319,7 @@
         Err(SendFailure::BrokenOff) => return CallAnswer::without(CallOutcome::BrokenOff),
     };
     let (parts, body) = response.into_parts();
-    let head = target_limits::read_head(traffic, &call.id, (sent_at, ""), &parts);
+    let head = target_reports::read_head(traffic, pieces_asked(&call.id, sent_at), &parts);
     let Ok(body) = Limited::new(body, MOST_ANSWER).collect().await else {
         return CallAnswer::without(CallOutcome::BrokenOff);
     };
@@ -387,7 +395,7 @@
         let sent = traffic.connections.send(&address, &target, request, || {}).await;
         let Ok((connection, response)) = sent else { return };
         let (parts, body) = response.into_parts();
-        target_limits::read_head(&traffic, &target, (sent_at, ""), &parts);
+        target_reports::read_head(&traffic, pieces_asked(&target, sent_at), &parts);
         let freed = parts.status.is_success();
         let whole = Limited::new(body, MOST_ANSWER).collect().await;
         if whole.is_ok() {
--- a/crates/barleyspool_gateway/src/traffic/target_choice.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_choice.rs
@@ -144,16 +144,13 @@
 /// this process.
 async fn wait_until(call: &Call, chosen: &Chosen, due: Time) -> bool {
     let traffic = &call.traffic;
-    if !chosen.bounded {
-        return true;
-    }
     let wait = due.since(traffic.now());
     if wait > Span::ZERO {
         timer::sleep(duration(wait)).await;
     }
     let now = traffic.now();
     let usable = traffic.forwarder.borrow_mut().usable(now, &chosen.id).is_some();
-    usable && now.since(due) < MOST_LATE
+    usable && (!chosen.bounded || now.since(due) < MOST_LATE)
 }
 
 fn no_room(call: &Call, wait: Span) -> CallFailure {
