A target that asks for rest in a refusal gets nothing from this node until it is over

What callers saw: refusals by targets that were known to refuse, one after the other, and a time to come back (200 ms) that no target had named. Cause: a refusal kept its target out for 40 ms, whatever time it named. The header was not read. Ruled out: a second way to the target only (calls, streams and pieces all went on in the red test); retries of the refused calls themselves, which go elsewhere. Change: the head of a 503 is read for the time (RestReport). Forwarder::take_rest notes it for the run of the target; choice, pools, word that results may go, targets set aside before stages and placements by owners all ask it. When every target that may get a call rests, the call is turned away at once with the time until the first rest is over (targets_rest).

--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -45,6 +45,10 @@
     ToldLeaving,
     /// Sends under which a target ended.
     TargetEnded,
+    /// Refusals in which a target asked for rest.
+    AskedRest,
+    /// Refusals that named a time of rest which cannot be read.
+    RestUnreadable,
     /// Answers whose target named a limit that cannot be read.
     LimitUnreadable,
     /// Microseconds of a service spent on requests, all in all.
@@ -76,6 +80,8 @@
             Self::QuarantineCapped => "quarantine_capped",
             Self::ToldLeaving => "told_leaving",
             Self::TargetEnded => "target_ended",
+            Self::AskedRest => "asked_rest",
+            Self::RestUnreadable => "rest_unreadable",
             Self::LimitUnreadable => "limit_unreadable",
             Self::Spent(_) => "spent_us",
             Self::Wasted(_) => "wasted_us",
--- a/crates/barleyspool_core/src/forward/choice.rs
+++ b/crates/barleyspool_core/src/forward/choice.rs
@@ -1,6 +1,6 @@
 //! The choice of a target for a call.
 
-use super::{Choose, Chosen, Forwarder, NO_ROOM_TTL, Need, TargetKey, shard_key};
+use super::{Choose, Chosen, Forwarder, NO_ROOM_TTL, Need, TargetKey, TargetRecord, shard_key};
 use crate::{Span, Time, rendezvous};
 use rand::Rng;
 
@@ -47,6 +47,7 @@
             if let Some(record) = self.targets.get_mut(*key)
                 && need.placing.is_none_or(|shard| shard.holds(record.hash))
                 && record.usable(now, &self.chart)
+                && (need.for_other || record.rest(now) == Span::ZERO)
             {
                 usable.push(*key);
             }
@@ -137,6 +138,10 @@
 
     /// The answer when no target can be used at once.
     fn when_room(&self, now: Time, need: &Need, room: &Room) -> Choose {
+        let rest = self.all_rest(now, need);
+        if rest > need.max_wait {
+            return Choose::Resting(rest);
+        }
         if let Some((key, wait)) = room.first
             && wait <= need.max_wait
         {
@@ -149,11 +154,12 @@
         }
     }
 
-    /// Whether any target that nothing bounds may get work, if not at this moment.
+    /// Whether any target that nothing bounds and that does not rest may get work, if not at this moment.
     fn has_unbounded(&self, now: Time, need: &Need) -> bool {
+        let rests = |record: &TargetRecord| !need.for_other && record.rest(now) > Span::ZERO;
         let placed_here = |hash| need.placing.is_none_or(|shard| shard.holds(hash));
         self.working_bounds(now, &need.service)
-            .any(|(record, bound)| bound.is_none() && placed_here(record.hash))
+            .any(|(record, bound)| bound.is_none() && !rests(record) && placed_here(record.hash))
     }
 
     fn send_to(&self, target: TargetKey, source: Option<String>, bounded: bool, wait: Span) -> Choose {
@@ -174,7 +180,7 @@
     pub fn likely_zone(&mut self, now: Time, need: &Need) -> Option<String> {
         match self.choose(now, need) {
             Choose::Send(chosen) => Some(self.targets.get(chosen.target)?.entry.zone.clone()),
-            Choose::NoRoom(_) | Choose::Busy(_) => None,
+            Choose::NoRoom(_) | Choose::Resting(_) | Choose::Busy(_) => None,
         }
     }
 
--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -84,6 +84,8 @@
     pub(super) table: Arc<TargetTable>,
     pub(super) by_id: HashMap<String, TargetKey>,
     pub(super) by_service: BTreeMap<String, Vec<TargetKey>>,
+    /// Targets that rest, or did a while ago.
+    pub(super) resting: Vec<TargetKey>,
     pub(super) sends: SlotMap<SendKey, Send>,
     pub(super) retries: HashMap<String, RetryWindow>,
     pub(super) answer_time: HashMap<String, f64>,
@@ -123,6 +125,7 @@
             table: Arc::default(),
             by_id: HashMap::new(),
             by_service: BTreeMap::new(),
+            resting: Vec::new(),
             sends: SlotMap::with_key(),
             retries: HashMap::new(),
             answer_time: HashMap::new(),
@@ -201,11 +204,12 @@
         self.targets.values()
     }
 
-    /// The target of that id, when it may be used now.
+    /// The target of that id, when this node may use it now.
     pub fn usable(&mut self, now: Time, id: &str) -> Option<Chosen> {
         let key = *self.by_id.get(id)?;
         let record = self.targets.get_mut(key)?;
-        record.usable(now, &self.chart).then(|| Chosen {
+        let usable = record.usable(now, &self.chart) && record.rest(now) == Span::ZERO;
+        usable.then(|| Chosen {
             target: key,
             id: record.entry.id.clone(),
             address: record.entry.address.clone(),
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -45,6 +45,7 @@
 mod target_entry;
 mod target_log;
 mod target_record;
+mod target_rest;
 mod target_store;
 
 pub use bounded_targets::{Grant, NO_ROOM_TTL, ReportedLimit};
@@ -84,4 +85,5 @@
 pub use target_counts::TargetCounts;
 pub use target_entry::{TargetEntry, TargetRun, TargetTable, TargetTimes};
 pub use target_record::{TargetKey, TargetRecord};
+pub use target_rest::RestReport;
 pub use target_store::{LAPSE_GRACE, Lapsing, TargetChange, TargetStore};
--- a/crates/barleyspool_core/src/forward/need.rs
+++ b/crates/barleyspool_core/src/forward/need.rs
@@ -30,6 +30,8 @@
     pub max_wait: Span,
     /// Set when this node places the calls of all nodes at the engines of a shard.
     pub placing: Option<Shard>,
+    /// Whether another node sends the call: a rest that a target has asked this node for does not concern it.
+    pub for_other: bool,
 }
 
 /// A part of the targets of a service: each belongs to one of `of` shards.
@@ -85,6 +87,8 @@
     Send(Chosen),
     /// Every target that is usable has been given all that it takes; when there is room again.
     NoRoom(Span),
+    /// All targets that may get work have asked this node for rest; when the first one's is over.
+    Resting(Span),
     /// No target is usable now; when to come back.
     Busy(Span),
 }
--- a/crates/barleyspool_core/src/forward/piece_plan.rs
+++ b/crates/barleyspool_core/src/forward/piece_plan.rs
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Takes until when each target wants nothing from this node.
+    pub fn take_rests(&mut self, rest_until: impl Fn(&str) -> Time) {
+        for (id, target) in &mut self.targets {
+            target.rest_until = rest_until(id);
+        }
+    }
+
     /// A run of a target has ended, and its results with it.
     fn run_ended(&mut self, id: &str, address: &str) {
         self.targets.remove(id);
--- a/crates/barleyspool_core/src/forward/piece_time.rs
+++ b/crates/barleyspool_core/src/forward/piece_time.rs
@@ -44,8 +44,9 @@
         let back = self
             .targets
             .values()
-            .filter(|target| waits && target.out_until > now)
-            .map(|target| target.out_until)
+            .filter(|_| waits)
+            .map(|target| target.out_until.max(target.rest_until))
+            .filter(|at| *at > now)
             .min();
         let room = self
             .targets
--- a/crates/barleyspool_core/src/forward/pool_target.rs
+++ b/crates/barleyspool_core/src/forward/pool_target.rs
@@ -39,6 +39,8 @@
     pub kept: u64,
     /// When it may get calls again.
     pub out_until: Time,
+    /// Until when it wants nothing from this node.
+    pub(super) rest_until: Time,
     out_for: Span,
     /// Calls in a row that took far too long.
     pub overdue_row: u32,
@@ -105,7 +107,7 @@
     /// does no work for it.
     pub(super) fn takes_frees(&self, now: Time) -> bool {
         let room = self.limit.is_none() || self.room_in(now) == Span::ZERO;
-        self.entry.takes_frees() && room
+        self.entry.takes_frees() && room && now >= self.rest_until
     }
 
     /// It is told to drop results.
@@ -122,7 +124,7 @@
 
     /// Whether it could get calls now, but for its rate.
     pub(super) fn works(&self, now: Time) -> bool {
-        self.owned && self.entry.takes_work() && now >= self.out_until
+        self.owned && self.entry.takes_work() && now >= self.out_until.max(self.rest_until)
     }
 
     /// A call is sent to it.
--- a/crates/barleyspool_core/src/forward/pool_wait.rs
+++ b/crates/barleyspool_core/src/forward/pool_wait.rs
@@ -16,7 +16,7 @@
         let usable = self.targets.values().filter(works).count();
         if usable == 0 {
             // A pool without targets may get some; until then a call's time is the best guess.
-            return self.call_time(self.spec.batch) + self.call_time(self.spec.batch);
+            return self.least_rest(now) + self.call_time(self.spec.batch) + self.call_time(self.spec.batch);
         }
         let ahead = u64::from(self.waiting()) + more;
         let full_calls = ahead as f64 / f64::from(self.spec.batch.max(1));
@@ -35,6 +35,14 @@
         Span(busy) + queue + self.call_time(last)
     }
 
+    /// How long all targets that may get work still rest; zero when one of them does not.
+    fn least_rest(&self, now: Time) -> Span {
+        let working = self.targets.values();
+        let working = working.filter(|target| target.owned && target.entry.takes_work());
+        let rests = working.map(|target| target.rest_until.since(now));
+        rests.min().unwrap_or_default()
+    }
+
     /// How long it takes until the rates of the targets have allowed so many calls. A target that nothing bounds takes one after the other.
     fn rate_wait(&self, now: Time, calls: f64) -> Span {
         let working = || self.targets.values().filter(|target| target.works(now));
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -47,6 +47,8 @@
     pub failing: f64,
     /// It said that it is full; until then it gets nothing.
     pub full_until: Time,
+    /// Until when it wants nothing from this node.
+    pub rest_until: Time,
     /// What this node has given out of its rate, while it has one.
     pub bucket: TargetBucket,
     /// Until when it has no room for another call, by the word of the node that gives out its rate.
@@ -73,6 +75,7 @@
             slowness: 1.0,
             failing: 0.0,
             full_until: Time(0),
+            rest_until: Time(0),
             bucket: TargetBucket::default(),
             no_room_until: Time(0),
             no_room_at: Time(0),
@@ -83,7 +86,12 @@
         }
     }
 
-    /// Whether it may get a call now. A quarantine that is over becomes a trial, one call at a time.
+    /// How much longer it wants nothing from this node.
+    pub fn rest(&self, now: Time) -> Span {
+        self.rest_until.since(now)
+    }
+
+    /// Whether it may get a call now, from this node if it does not rest. A quarantine that is over becomes a trial, one call at a time.
     pub fn usable(&mut self, now: Time, chart: &Chart<TargetPhase, TargetEvent>) -> bool {
         if self.phase == TargetPhase::Quarantined && now >= self.out_until {
             // Probes are priced, and a call says more: the end of the wait counts as a good probe.
--- a/crates/barleyspool_core/src/outcome.rs
+++ b/crates/barleyspool_core/src/outcome.rs
@@ -119,6 +119,8 @@
     PoolBusy => "pool_busy",
     /// All targets that are usable have been given the calls a second that they take.
     AtLimit => "at_limit",
+    /// All targets that may get work have asked this node for rest.
+    TargetsRest => "targets_rest",
     /// Targets have ended under this call.
     EndsTargets => "ends_targets",
 }
--- a/crates/barleyspool_core/tests/forward_choice.rs
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -64,7 +64,7 @@
 fn choose(forwarder: &mut Forwarder, now: Time, need: &Need) -> Chosen {
     match forwarder.choose(now, need) {
         Choose::Send(chosen) => chosen,
-        Choose::NoRoom(_) | Choose::Busy(_) => panic!("a target is free"),
+        Choose::NoRoom(_) | Choose::Resting(_) | Choose::Busy(_) => panic!("a target is free"),
     }
 }
 
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -5,7 +5,8 @@
 
 use crate::CallFailure;
 use barleyspool_core::{
-    CallHead, CatalogDocument, LimitReport, LoadReport, PieceAsk, PieceOutcome, Revision, Span, TargetEntry,
+    CallHead, CatalogDocument, LimitReport, LoadReport, PieceAsk, PieceOutcome, RestReport, Revision, Span,
+    TargetEntry,
 };
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName};
@@ -77,6 +78,8 @@
     pub keep: Option<Span>,
     /// Whether it is on its way out.
     pub leaving: bool,
+    /// Whether it wants nothing from this node for a while.
+    pub rest: RestReport,
     /// Whether it limits what it takes.
     pub limit: LimitReport,
 }
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -181,6 +181,26 @@
         /// The call whose answer said so; empty for pieces.
         id: &'a str,
     },
+    /// A target refused a request and wants nothing from this node for a while.
+    TargetRests {
+        /// The target's id.
+        target: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// For how long, in milliseconds.
+        rest_ms: u64,
+        /// The call that it refused; empty for pieces.
+        id: &'a str,
+    },
+    /// A call was turned away because every target that may get it wants nothing from this node.
+    AtRest {
+        /// The call's id.
+        id: &'a str,
+        /// The service.
+        service: &'a str,
+        /// Milliseconds until the first rest is over.
+        wait_ms: u64,
+    },
     /// A call found no room at any target that is usable, since each takes so many calls a second and no more.
     AtLimit {
         /// The call's id.
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     Counter::Quarantined,
     Counter::ToldLeaving,
     Counter::TargetEnded,
+    Counter::AskedRest,
+    Counter::RestUnreadable,
     Counter::LimitUnreadable,
 ];
 
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -282,6 +282,7 @@
             copies: self.copies,
             max_wait: Span::ZERO,
             placing: None,
+            for_other: false,
         }
     }
 
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -189,7 +189,10 @@
 fn request(call: &Call, id: &PoolId, max_wait: Span) -> Option<PlaceRequest> {
     let need = call.need();
     let forwarder = call.traffic.forwarder.borrow();
-    let avoid = need.avoid.iter().filter_map(|key| forwarder.target(*key));
+    // What rests for this node does not rest for the owner.
+    let resting = forwarder.resting(call.traffic.now(), &need.service);
+    let avoid = need.avoid.iter().copied().chain(resting);
+    let avoid = avoid.filter_map(|key| forwarder.target(key));
     Some(PlaceRequest {
         call: format!("{}/{}", call.head.id, call.next_placement()),
         shard: id.shard,
@@ -233,11 +236,12 @@
         copies: request.copies,
         max_wait: request.max_wait,
         placing: Some(shard),
+        for_other: request.from != traffic.plan().me,
     };
     let chosen = match forwarder.place(now, &need, request.from) {
         Choose::Send(chosen) => chosen,
         Choose::NoRoom(wait) => return PlaceAnswer::NoRoom(wait),
-        Choose::Busy(_) => return PlaceAnswer::Busy,
+        Choose::Resting(_) | Choose::Busy(_) => return PlaceAnswer::Busy,
     };
     let send = forwarder.begin(now, &need, chosen.target);
     let mut placements = traffic.placements.borrow_mut();
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -151,7 +151,7 @@
         let (calls, wake) = {
             let mut queue = pool.queue.borrow_mut();
             queue.tick(now);
-            take_rates(&traffic, &pool, &mut queue);
+            take_reports(&traffic, &pool, &mut queue);
             // Until it is clear who owns the pool, orders gather: most of them go to another node.
             let calls = if traffic.plan().settled {
                 queue.next_calls(now)
@@ -174,11 +174,11 @@
     }
 }
 
-/// Takes what targets said of their limits since the last look, and what this node may give out of their rates.
+/// Takes what targets said of their limits and of rest since the last look, and what this node may give out of their rates.
 ///
 /// A node asks for as long as an order of it waits here, and this one always does: without a part of the rate it would refuse its own callers,
 /// and ask nobody for one.
-fn take_rates(traffic: &Traffic, pool: &Pool, queue: &mut PieceQueue) {
+fn take_reports(traffic: &Traffic, pool: &Pool, queue: &mut PieceQueue) {
     let (now, me) = (traffic.now(), traffic.plan().me);
     let mut forwarder = traffic.forwarder.borrow_mut();
     for asker in pool.askers.borrow().keys() {
@@ -186,6 +186,7 @@
     }
     let share = forwarder.rate_share(now, pool.key, me);
     queue.take_rates(now, share, me, |id| forwarder.limit(id));
+    queue.take_rests(|id| forwarder.rest_until(id));
 }
 
 async fn run_call(traffic: Rc<Traffic>, pool: Rc<Pool>, call: PieceCall) {
--- a/crates/barleyspool_gateway/src/traffic/target_choice.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_choice.rs
@@ -36,6 +36,8 @@
     At(Box<Found>),
     /// All usable targets have been given all that they take; when there is room again.
     NoRoom(Span),
+    /// All that may get work have asked this node for rest; when the first one's is over.
+    Resting(Span),
     /// None is usable; when to come back.
     Busy(Span),
 }
@@ -66,6 +68,7 @@
                 }
             }
             Look::NoRoom(wait) => return Err(no_room(call, wait)),
+            Look::Resting(wait) => return Err(at_rest(call, wait)),
             Look::Busy(come_back) if traffic.now() >= until => {
                 return Err(no_target(call, Reason::NoTarget, come_back));
             }
@@ -74,13 +77,18 @@
     }
 }
 
-/// Has a target given out to a call whose stages take `ahead`, when every target of its service takes so many calls a second and no more: a
-/// call that would find no room after its stages is refused before they are made.
+/// Has a target given out to a call whose stages take `ahead`, when every target of its service takes so many calls a second and no more. A
+/// call that would find no room after its stages, or only targets at rest, is refused before they are made.
 ///
 /// # Errors
 /// When there will be no room.
 pub async fn reserve(call: &Call, ahead: Span) -> Result<(), CallFailure> {
     let traffic = &call.traffic;
+    let max_wait = ahead + call.route.aim.scale(FULL_SHARE);
+    let rest = traffic.forwarder.borrow().all_rest(traffic.now(), &call.need());
+    if rest > max_wait {
+        return Err(at_rest(call, Span(rest.0.saturating_sub(ahead.0))));
+    }
     // A target that is warm by then is not bounded any more.
     let bounded = traffic
         .forwarder
@@ -89,7 +97,6 @@
     if !bounded {
         return Ok(());
     }
-    let max_wait = ahead + call.route.aim.scale(FULL_SHARE);
     match look(call, max_wait, true).await {
         Look::At(found) => {
             let due = traffic.now() + found.0.wait;
@@ -98,6 +105,7 @@
         }
         // The stages of a call that comes back take their time again.
         Look::NoRoom(wait) => Err(no_room(call, Span(wait.0.saturating_sub(ahead.0)))),
+        Look::Resting(wait) => Err(at_rest(call, Span(wait.0.saturating_sub(ahead.0)))),
         Look::Busy(_) => Ok(()),
     }
 }
@@ -135,6 +143,7 @@
             }
             Choose::Send(chosen) => return Look::At(Box::new((chosen, None))),
             Choose::NoRoom(wait) => return Look::NoRoom(wait),
+            Choose::Resting(wait) => return Look::Resting(wait),
             Choose::Busy(come_back) => return Look::Busy(come_back),
         }
     }
@@ -166,6 +175,17 @@
     no_target(call, Reason::AtLimit, wait)
 }
 
+fn at_rest(call: &Call, wait: Span) -> CallFailure {
+    let traffic = &call.traffic;
+    let line = Line::AtRest {
+        id: &call.head.id,
+        service: &call.service,
+        wait_ms: wait.as_millis(),
+    };
+    traffic.log.write(traffic.now(), &line);
+    no_target(call, Reason::TargetsRest, wait)
+}
+
 /// The end of a call that gets no target now, with when to come back unless an earlier send of it may have run.
 fn no_target(call: &Call, reason: Reason, come_back: Span) -> CallFailure {
     let failure = if call.history.get().may_have_run {
--- a/crates/barleyspool_gateway/src/traffic/target_reports.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_reports.rs
@@ -4,7 +4,7 @@
 use crate::edges::AnswerHead;
 use crate::event_log::Line;
 use crate::shared::Sighting;
-use barleyspool_core::{Counter, LimitReport, Time};
+use barleyspool_core::{Counter, LimitReport, RestReport, Time};
 use hyper::http::response::Parts;
 use tokio::sync::mpsc;
 
@@ -47,6 +47,7 @@
     if head.leaving {
         note_leaving(traffic, asked);
     }
+    note_rest(traffic, asked, head.rest);
     let id = head.id.as_deref();
     let another_call = id.is_some_and(|id| !asked.call.is_empty() && id != asked.call);
     if !another_call {
@@ -69,6 +70,30 @@
     traffic.log.write(traffic.now(), &line);
 }
 
+fn note_rest(traffic: &Traffic, asked: Asked, rest: RestReport) {
+    let rest = match rest {
+        RestReport::None => return,
+        RestReport::Unreadable => return traffic.count(Counter::RestUnreadable),
+        RestReport::For(rest) => rest,
+    };
+    traffic.count(Counter::AskedRest);
+    let now = traffic.now();
+    let begins = traffic
+        .forwarder
+        .borrow_mut()
+        .take_rest(now, asked.sent, asked.target, rest);
+    if !begins {
+        return;
+    }
+    let line = Line::TargetRests {
+        target: asked.target,
+        service: &service(traffic, asked.target),
+        rest_ms: rest.as_millis(),
+        id: asked.call,
+    };
+    traffic.log.write(now, &line);
+}
+
 fn note_limit(traffic: &Traffic, asked: Asked, word: LimitReport) {
     if word == LimitReport::Unreadable {
         return traffic.count(Counter::LimitUnreadable);
