Entry daemon: a target that begins to leave says so on the next event of each stream

Now any event may say it, and the router takes it at once. The event is new, so router::a_target_that_says_amid_a_stream_that_it_leaves_gets_nothing_new was not seen red; answers and probes said it before.

--- a/crates/barleyspool_core/src/router/mod.rs
+++ b/crates/barleyspool_core/src/router/mod.rs
@@ -129,6 +129,7 @@
                 offset,
                 data,
             } => self.part(now, attempt, echo, offset, &data),
+            TrafficEvent::TargetLeaves { attempt } => self.hear_target(now, attempt, None, true),
             TrafficEvent::Ended {
                 attempt,
                 echo,
--- a/crates/barleyspool_core/src/traffic.rs
+++ b/crates/barleyspool_core/src/traffic.rs
@@ -78,6 +78,11 @@
         /// Its bytes.
         data: Payload,
     },
+    /// A piece of a stream that goes on says that its target is leaving.
+    TargetLeaves {
+        /// The attempt on whose connection it came.
+        attempt: AttemptId,
+    },
     /// An attempt ended.
     Ended {
         /// The attempt.
--- a/crates/barleyspool_core/tests/router.rs
+++ b/crates/barleyspool_core/tests/router.rs
@@ -348,6 +348,20 @@
     assert_eq!(sent_after(Guards::default()), 0);
 }
 
+/// Guards against work for a target that leaves while its streams go on: the word comes on a piece, and the stream breaks off later or not at all.
+#[test]
+fn a_target_that_says_amid_a_stream_that_it_leaves_gets_nothing_new() {
+    let mut bench = bench(2, 8, Guards::default());
+    bench.arrive(call("first"));
+    let (attempt, order) = bench.sent.pop().unwrap();
+    bench.step(TrafficEvent::TargetLeaves { attempt });
+    for nth in 0..12 {
+        bench.arrive(call(&format!("k{nth}")));
+    }
+    assert!(bench.sent.iter().all(|(_, sent)| sent.target != order.target));
+    assert_eq!(phase(&bench, order.target), TargetPhase::Leaving);
+}
+
 #[test]
 fn what_a_leaving_target_works_on_is_finished_and_a_newer_run_is_used_again() {
     let mut bench = bench(1, 8, Guards::default());
--- a/crates/barleyspool_entry/src/target_pool.rs
+++ b/crates/barleyspool_entry/src/target_pool.rs
@@ -246,12 +246,18 @@
 ) -> Ending {
     let mut buffer = BytesMut::new();
     let mut last: Option<StreamEvent> = None;
+    let mut leaving = false;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { break };
         let Ok(data) = frame.into_data() else { continue };
         buffer.extend_from_slice(&data);
         while let Some(event) = next_event(&mut buffer) {
             let Ok(event) = event else { return Ending::broken() };
+            if event.leaving && !leaving {
+                // At once: the stream may go on for seconds, or break off.
+                leaving = true;
+                let _ = events.send(TrafficEvent::TargetLeaves { attempt });
+            }
             if !event.data.0.is_empty() {
                 let (echo, offset, data): (Echo, u64, Payload) =
                     (event.echo, event.offset, event.data.0.clone());
@@ -272,7 +278,6 @@
         Some(StreamEvent {
             echo,
             length: Some(length),
-            leaving,
             load,
             ..
         }) => {
--- a/crates/barleyspool_stands/src/target.rs
+++ b/crates/barleyspool_stands/src/target.rs
@@ -219,7 +219,7 @@
                     offset: at as u64,
                     data: Blob(Arc::from(&output[at..end])),
                     length: last.then_some(output.len() as u64),
-                    leaving: last && report.leaving,
+                    leaving: report.leaving,
                     load: if last { report.load } else { None },
                 };
                 slot.ended = last;
--- a/crates/barleyspool_wire/src/target.rs
+++ b/crates/barleyspool_wire/src/target.rs
@@ -110,7 +110,7 @@
     /// Set on the last event: the length of the whole answer.
     #[serde(default)]
     pub length: Option<u64>,
-    /// Whether the target is leaving; on the last event.
+    /// Whether the target is leaving; on any event.
     #[serde(default)]
     pub leaving: bool,
     /// Its load; on the last event.
