Entry daemon: a target that asks for rest in a refusal gets neither steps nor probes until it is over

Refusals now carry rest_ms. The target goes into quarantine, whose probe waits until the time is over; the control thread tells the other lanes with the plan; when all targets of a service rest, requests are refused at once with the time until the first one is back (targets_rest). Tests: router::a_target_at_rest_gets_neither_steps_nor_probes, requests_are_refused_at_once_while_all_targets_of_a_service_rest, a_rest_that_the_plan_tells_holds_too; the field is new, so they were not seen red.

--- a/crates/barleyspool_core/src/control/message.rs
+++ b/crates/barleyspool_core/src/control/message.rs
@@ -1,6 +1,8 @@
 //! What goes into and comes out of the control state.
 
-use crate::{ConfigDocument, Fleet, Gossip, LeavingTarget, PeerReply, Plan, Revision, Snapshot, Time};
+use crate::{
+    ConfigDocument, Fleet, Gossip, LeavingTarget, PeerReply, Plan, Revision, Snapshot, TargetRest, Time,
+};
 
 /// What the shell tells the control state.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +37,8 @@
     },
     /// A target said that it is leaving.
     ToldLeaving(LeavingTarget),
+    /// A target wants nothing from this node for a while.
+    ToldRest(TargetRest),
     /// A caller has seen a newer configuration.
     Behind,
     /// A planned stop was asked for.
--- a/crates/barleyspool_core/src/control/mod.rs
+++ b/crates/barleyspool_core/src/control/mod.rs
@@ -19,12 +19,12 @@
 
 use crate::chart::{Chart, ChartError, symbol};
 use crate::{
-    Epoch, Fleet, Gossip, Lease, LeavingTarget, PeerReply, PlanTarget, RequestKey, Revision, Snapshot, Span,
-    Time, Word,
+    Epoch, Fleet, Gossip, Incarnation, Lease, LeavingTarget, PeerReply, PlanTarget, RequestKey, Revision,
+    Snapshot, Span, TargetId, Time, Word,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 symbol! {
@@ -70,6 +70,8 @@
     lease: Lease,
     peers: PeerTable,
     leaving: BTreeSet<LeavingTarget>,
+    /// Until when runs of targets want nothing from this node.
+    rests: BTreeMap<(TargetId, Incarnation), Time>,
     started: Time,
     read_at: Time,
     next_beat: Time,
@@ -101,6 +103,7 @@
             lease: Lease::new(settings.rules, settings.node, settings.run).with_guards(settings.guards),
             peers: PeerTable::new()?,
             leaving: BTreeSet::new(),
+            rests: BTreeMap::new(),
             started: now,
             read_at: Time(0),
             next_beat: now,
@@ -129,6 +132,7 @@
             ControlEvent::Replied { asked, reply } => self.replied(now, asked, &reply),
             ControlEvent::Fetched { snapshot } => self.fetched(now, *snapshot),
             ControlEvent::ToldLeaving(target) => self.told_leaving(now, target),
+            ControlEvent::ToldRest(rest) => self.told_rest(now, rest),
             ControlEvent::Behind => self.behind(now),
             ControlEvent::Stop => self.stop(now),
             ControlEvent::Live(live) => self.live = live,
--- a/crates/barleyspool_core/src/control/updates.rs
+++ b/crates/barleyspool_core/src/control/updates.rs
@@ -2,7 +2,8 @@
 
 use super::{Control, ControlAction, NodeEvent, NodePhase};
 use crate::{
-    ConfigDocument, Fleet, Guard, LeavingTarget, ListState, PlanTarget, Snapshot, Span, Time, sharers, subset,
+    ConfigDocument, Fleet, Guard, LeavingTarget, ListState, PlanTarget, Snapshot, Span, TargetRest, Time,
+    sharers, subset,
 };
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -62,6 +63,16 @@
         }
     }
 
+    pub(super) fn told_rest(&mut self, now: Time, rest: TargetRest) {
+        self.rests.retain(|_, until| *until > now);
+        let until = self.rests.entry((rest.target, rest.incarnation)).or_default();
+        if *until < rest.until {
+            *until = rest.until;
+            self.rebuild_targets();
+            self.publish(now);
+        }
+    }
+
     pub(super) fn rebuild_targets(&mut self) {
         let Some(config) = self.store.config() else { return };
         let me = self.as_listed();
@@ -72,6 +83,10 @@
             };
             target.state == ListState::Leaving || self.leaving.contains(&told)
         };
+        let rest_until = |target: &crate::TargetNode| {
+            let run = (target.id, target.incarnation);
+            self.rests.get(&run).copied().unwrap_or_default()
+        };
         let chosen = subset(&self.fleet, &me, self.settings.subset);
         let mut users: BTreeMap<(&str, &str), usize> = BTreeMap::new();
         let mut targets = Vec::with_capacity(chosen.len());
@@ -92,6 +107,7 @@
                 slots: target.slots,
                 share: f64::from(target.slots) / *count as f64,
                 leaving: leaving(target),
+                rest_until: rest_until(target),
             });
         }
         self.targets = Arc::new(targets);
--- a/crates/barleyspool_core/src/outcome.rs
+++ b/crates/barleyspool_core/src/outcome.rs
@@ -213,6 +213,8 @@
     Refused {
         /// Whether it refuses because it is leaving.
         leaving: bool,
+        /// How long it wants nothing from this node.
+        rest: Span,
     },
     /// The connection could not be made, or nothing of the request was written.
     Unreachable,
--- a/crates/barleyspool_core/src/plan.rs
+++ b/crates/barleyspool_core/src/plan.rs
@@ -4,6 +4,7 @@
     Config, Fleet, Incarnation, LeaseRules, LeaseView, ListState, NodeId, RequestKey, ServiceIx, Span,
     TargetId, Time, rendezvous,
 };
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Whether this node takes requests.
@@ -39,6 +40,19 @@
     pub share: f64,
     /// Whether it is on its way out, by whatever source said so first.
     pub leaving: bool,
+    /// Until when it wants nothing from this node.
+    pub rest_until: Time,
+}
+
+/// A run of a target wants nothing from this node for a while, as it said in a refusal.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRest {
+    /// The target.
+    pub target: TargetId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Until when.
+    pub until: Time,
 }
 
 /// Another entry node.
--- a/crates/barleyspool_core/src/router/answer.rs
+++ b/crates/barleyspool_core/src/router/answer.rs
@@ -3,10 +3,13 @@
 use super::Router;
 use crate::{
     AttemptEnd, AttemptId, Counter, Echo, Fate, Guard, LoadReport, Payload, Peer, Reason, RequestEvent,
-    RequestId, RetryReason, Span, TargetEvent, TargetId, TargetPhase, Time, TrafficAction,
+    RequestId, RetryReason, ServiceIx, Span, TargetEvent, TargetId, TargetPhase, TargetRest, Time,
+    TrafficAction,
 };
 use std::sync::Arc;
 
+/// The longest rest that is kept to: a target that names more is probed after it.
+const LONGEST_REST: Span = Span::from_secs(600);
 /// Sends of one step without a retry budget.
 const PLAIN_SENDS: u16 = 3;
 
@@ -216,14 +219,41 @@
                 target.limit.answered(now, took, full, report);
                 target.succeeded(&self.target_chart);
             }
-            AttemptEnd::Refused { leaving: true } => {
+            AttemptEnd::Refused { leaving: true, .. } => {
                 self.hear_report(now, id, None, true);
             }
-            AttemptEnd::Refused { leaving: false } => target.limit.shrink(now),
+            AttemptEnd::Refused { rest, .. } => {
+                target.limit.shrink(now);
+                self.asked_rest(now, id, *rest);
+            }
             AttemptEnd::Unreachable | AttemptEnd::BrokenOff => self.target_failed(now, id),
         }
     }
 
+    /// A target wants nothing from this node for a while, by whichever lane.
+    fn asked_rest(&mut self, now: Time, id: TargetId, rest: Span) {
+        let Some(target) = self.targets.get_mut(&id).filter(|_| rest > Span::ZERO) else {
+            return;
+        };
+        let rest = TargetRest {
+            target: id,
+            incarnation: target.plan.incarnation,
+            until: now + rest.min(LONGEST_REST),
+        };
+        target.rest(rest.until, &self.target_chart);
+        self.count(Counter::AskedRest);
+        self.actions.push(TrafficAction::TellRest(rest));
+    }
+
+    /// How long every target of a service that is not leaving wants nothing from this node; zero when one does not.
+    pub(super) fn all_rest(&self, now: Time, service: ServiceIx) -> Span {
+        let targets = &self.services[usize::from(service.0)].targets;
+        let targets = targets.iter().filter_map(|id| self.targets.get(id));
+        let staying = targets.filter(|target| target.phase != TargetPhase::Leaving);
+        let rests = staying.map(|target| target.rest_until.since(now));
+        rests.min().unwrap_or_default()
+    }
+
     /// Counts a failure of a target, and puts it into quarantine unless too many are there already: when
     /// most targets look down, what this node sees is suspect, not the fleet.
     pub(super) fn target_failed(&mut self, now: Time, id: TargetId) {
@@ -274,7 +304,13 @@
 
     /// Sends the present step again, if there is time, a target and a retry left.
     pub(super) fn again(&mut self, now: Time, id: RequestId, failed: TargetId, reason: RetryReason) {
-        let late = self.start_by(id).is_none_or(|start_by| start_by < now);
+        let start_by = self.start_by(id);
+        let late = start_by.is_none_or(|start_by| start_by < now);
+        let service = self.requests.get(id).map(|request| request.stage().service);
+        let rest = service.map_or(Span::ZERO, |service| self.all_rest(now, service));
+        if rest > Span::ZERO && start_by.is_some_and(|start_by| start_by < now + rest) {
+            return self.give_up(now, id, Reason::TargetsRest, Some(Peer::Target(failed)));
+        }
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
--- a/crates/barleyspool_core/src/router/arrive.rs
+++ b/crates/barleyspool_core/src/router/arrive.rs
@@ -221,7 +221,12 @@
         let rank = pipeline.class.0;
         for stage in &pipeline.stages {
             if self.places(stage.service) == 0 {
-                return Err(Turned::after(Reason::NoTarget, CONFIRM_WAIT));
+                let rest = self.all_rest(now, stage.service);
+                return Err(if rest > Span::ZERO {
+                    Turned::after(Reason::TargetsRest, rest)
+                } else {
+                    Turned::after(Reason::NoTarget, CONFIRM_WAIT)
+                });
             }
         }
         if !self.settings.policy.admission {
--- a/crates/barleyspool_core/src/router/end.rs
+++ b/crates/barleyspool_core/src/router/end.rs
@@ -77,7 +77,7 @@
         let ahead = state.backlog.ahead(request.rank, request.org, request.weight);
         let above = state.backlog.rate_above(now, request.rank);
         let wait = state.wait(ahead, f64::from(self.places(service)), above);
-        Span((wait as u64).max(state.took as u64))
+        Span((wait as u64).max(state.took as u64)).max(self.all_rest(now, service))
     }
 
     /// Tells every listener, settles the accounts and forgets the request.
--- a/crates/barleyspool_core/src/router/mod.rs
+++ b/crates/barleyspool_core/src/router/mod.rs
@@ -213,8 +213,10 @@
         if listed.incarnation > target.plan.incarnation {
             self.target_chart.step(&mut target.phase, TargetEvent::Replaced);
             target.probe_at = None;
+            target.rest_until = Time(0);
         }
         target.update(&listed, policy);
+        target.rest(listed.rest_until, &self.target_chart);
         if listed.leaving && self.settings.guards.hold(Guard::TargetLeaving) {
             self.target_chart
                 .step(&mut target.phase, TargetEvent::ToldLeaving);
--- a/crates/barleyspool_core/src/target_state.rs
+++ b/crates/barleyspool_core/src/target_state.rs
@@ -24,6 +24,8 @@
         Answered = "answered",
         /// It failed too often in a row.
         Failed = "failed",
+        /// It refused a call and wants nothing from this node for a while.
+        AskedRest = "asked_rest",
         /// It answered a probe.
         ProbeOk = "probe_ok",
         /// It did not answer a probe.
@@ -62,6 +64,8 @@
     pub report: Option<(LoadReport, Time)>,
     /// When to probe it, while it is in quarantine and no probe is under way.
     pub probe_at: Option<Time>,
+    /// Until when it wants nothing from this node, probes included.
+    pub rest_until: Time,
     streak: u32,
     wait: Span,
 }
@@ -77,6 +81,7 @@
             limit,
             report: None,
             probe_at: None,
+            rest_until: Time(0),
             streak: 0,
             wait: PROBE_FIRST,
         }
@@ -150,14 +155,27 @@
         }
     }
 
+    /// It wants nothing from this node until `until`; a probe then shows whether it is back.
+    pub fn rest(&mut self, until: Time, chart: &Chart<TargetPhase, TargetEvent>) {
+        if until <= self.rest_until {
+            return;
+        }
+        self.rest_until = until;
+        chart.step(&mut self.phase, TargetEvent::AskedRest);
+        if self.phase == TargetPhase::Quarantined {
+            self.probe_at = Some(self.probe_at.map_or(until, |at| at.max(until)));
+        }
+    }
+
     /// A probe came back.
     pub fn probed(&mut self, now: Time, ok: bool, chart: &Chart<TargetPhase, TargetEvent>) {
-        if ok && chart.step(&mut self.phase, TargetEvent::ProbeOk) {
+        let rests = now < self.rest_until;
+        if ok && !rests && chart.step(&mut self.phase, TargetEvent::ProbeOk) {
             self.streak = 0;
         }
         if self.phase == TargetPhase::Quarantined {
             self.wait = PROBE_LONGEST.min(self.wait + self.wait);
-            self.probe_at = Some(now + self.wait);
+            self.probe_at = Some((now + self.wait).max(self.rest_until));
         }
     }
 }
--- a/crates/barleyspool_core/src/traffic.rs
+++ b/crates/barleyspool_core/src/traffic.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     AttemptEnd, AttemptId, Call, CallerId, Incarnation, LoadReport, NodeId, Outcome, ServiceIx, TargetId,
-    Time,
+    TargetRest, Time,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -157,6 +157,8 @@
         /// Its IP number and port.
         address: String,
     },
+    /// Tell the other lanes that a target wants nothing from this node for a while.
+    TellRest(TargetRest),
     /// Tell the control thread that a target is leaving.
     TellLeaving {
         /// The target.
--- a/crates/barleyspool_core/tests/fault_matrix.rs
+++ b/crates/barleyspool_core/tests/fault_matrix.rs
@@ -236,11 +236,19 @@
         let echo = Some(order.echo);
         match fault {
             None => self.good(attempt, order),
-            Refused => self
-                .bench
-                .end(attempt, echo, AttemptEnd::Refused { leaving: false }),
+            Refused => self.bench.end(
+                attempt,
+                echo,
+                AttemptEnd::Refused {
+                    leaving: false,
+                    rest: Span::ZERO,
+                },
+            ),
             RefusedLeaving => {
-                let end = AttemptEnd::Refused { leaving: true };
+                let end = AttemptEnd::Refused {
+                    leaving: true,
+                    rest: Span::ZERO,
+                };
                 self.bench.step(TrafficEvent::Ended {
                     attempt,
                     echo,
--- a/crates/barleyspool_core/tests/router.rs
+++ b/crates/barleyspool_core/tests/router.rs
@@ -362,6 +362,75 @@
     assert_eq!(phase(&bench, order.target), TargetPhase::Leaving);
 }
 
+/// How long a refusal of `target` asks for rest in these tests.
+const REST: Span = Span::from_secs(2);
+
+/// Refuses the first call that goes to any target, asking for rest; returns the target.
+fn refuse_one(bench: &mut Bench) -> TargetId {
+    bench.arrive(call("refused"));
+    let (attempt, order) = bench.sent.pop().unwrap();
+    let end = AttemptEnd::Refused {
+        leaving: false,
+        rest: REST,
+    };
+    bench.end(attempt, Some(order.echo), end);
+    order.target
+}
+
+/// Guards against steps and probes to a target within the rest that it has asked this node for.
+#[test]
+fn a_target_at_rest_gets_neither_steps_nor_probes() {
+    let mut bench = bench(2, 8, Guards::default());
+    let resting = refuse_one(&mut bench);
+    let over = bench.now + REST;
+    bench.answer_all(ms(1));
+    let mut nth = 0;
+    while bench.now + ms(100) < over {
+        nth += 1;
+        bench.arrive(call(&format!("k{nth}")));
+        assert!(bench.sent.iter().all(|(_, sent)| sent.target != resting), "{nth}");
+        bench.answer_all(ms(5));
+        bench.pass(ms(20));
+        assert!(bench.probes.is_empty(), "{nth}");
+    }
+    bench.pass(ms(100));
+    assert_eq!(bench.probes, [resting], "its rest is over");
+}
+
+/// Guards against requests that wait in vain, or are told to come back too early, while all targets of a service rest.
+#[test]
+fn requests_are_refused_at_once_while_all_targets_of_a_service_rest() {
+    let mut bench = bench(1, 8, Guards::default());
+    refuse_one(&mut bench);
+    let caller = bench.arrive(call("next"));
+    assert!(bench.sent.is_empty());
+    let Some(Outcome::Refused(refusal)) = bench.callers[&caller].outcomes.first() else {
+        panic!("it is not refused");
+    };
+    assert_eq!(refusal.reason, Reason::TargetsRest);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert!(refusal.come_back >= REST, "{:?}", refusal.come_back);
+}
+
+/// Guards against a lane that does not know of a rest which another lane of the same node was asked for.
+#[test]
+fn a_rest_that_the_plan_tells_holds_too() {
+    let mut bench = bench(2, 8, Guards::default());
+    let plan = Plan::clone(bench.router.plan());
+    let mut targets = Vec::clone(&plan.targets);
+    targets[0].rest_until = bench.now + REST;
+    let resting = targets[0].id;
+    let plan = Plan {
+        targets: Arc::new(targets),
+        ..plan
+    };
+    bench.take_plan(plan);
+    for nth in 0..12 {
+        bench.arrive(call(&format!("k{nth}")));
+    }
+    assert!(bench.sent.iter().all(|(_, sent)| sent.target != resting));
+}
+
 #[test]
 fn what_a_leaving_target_works_on_is_finished_and_a_newer_run_is_used_again() {
     let mut bench = bench(1, 8, Guards::default());
--- a/crates/barleyspool_core/tests/support/mod.rs
+++ b/crates/barleyspool_core/tests/support/mod.rs
@@ -162,6 +162,7 @@
         slots,
         share: f64::from(slots),
         leaving: false,
+        rest_until: Time(0),
     };
     let era = fleet.cells[0].eras[0].clone();
     Plan {
--- a/crates/barleyspool_entry/src/lane.rs
+++ b/crates/barleyspool_entry/src/lane.rs
@@ -4,8 +4,8 @@
 use crate::target_pool::TargetPool;
 use barleyspool_core::chart::Symbol;
 use barleyspool_core::{
-    AttemptEnd, AttemptId, Call, CallerId, Counter, Forecast, LeavingTarget, Outcome, Router, Time,
-    TrafficAction, TrafficEvent,
+    AttemptEnd, AttemptId, Call, CallerId, Counter, Forecast, LeavingTarget, Outcome, Router, TargetRest,
+    Time, TrafficAction, TrafficEvent,
 };
 use barleyspool_wire::http::AbortOnDrop;
 use barleyspool_wire::{rpc, rpc_convert};
@@ -57,6 +57,8 @@
 pub enum LaneNotice {
     /// A target said that it is leaving.
     Leaving(LeavingTarget),
+    /// A target wants nothing from this node for a while.
+    Rest(TargetRest),
     /// A caller has seen a newer configuration.
     Behind,
 }
@@ -194,6 +196,7 @@
                     let events = self.events.clone();
                     tokio::spawn(async move { TargetPool::probe(target, &address, &events).await });
                 }
+                TrafficAction::TellRest(rest) => self.notify(LaneNotice::Rest(rest)),
                 TrafficAction::TellLeaving { target, incarnation } => {
                     self.notify(LaneNotice::Leaving(LeavingTarget { target, incarnation }));
                 }
--- a/crates/barleyspool_entry/src/target_pool.rs
+++ b/crates/barleyspool_entry/src/target_pool.rs
@@ -2,7 +2,9 @@
 
 use crate::lane::not_sent;
 use crate::shared::Shared;
-use barleyspool_core::{AttemptEnd, AttemptId, Echo, LoadReport, Payload, StepOrder, TargetId, TrafficEvent};
+use barleyspool_core::{
+    AttemptEnd, AttemptId, Echo, LoadReport, Payload, Span, StepOrder, TargetId, TrafficEvent,
+};
 use barleyspool_wire::target::{
     CANCEL_PATH, LOAD_PATH, STEPS_PATH, StepReply, StepRequest, StreamEvent, TargetReport,
 };
@@ -226,6 +228,7 @@
         },
         None if reply.not_run => AttemptEnd::Refused {
             leaving: reply.leaving,
+            rest: Span::from_millis(reply.rest_ms),
         },
         None => AttemptEnd::BrokenOff,
     };
--- a/crates/barleyspool_stands/src/replay/run.rs
+++ b/crates/barleyspool_stands/src/replay/run.rs
@@ -106,6 +106,7 @@
             slots: node.slots,
             share: f64::from(node.slots),
             leaving: node.state == ListState::Leaving,
+            rest_until: Time(0),
         })
     };
     Ok(Plan {
@@ -276,6 +277,7 @@
                 TrafficAction::Probe { target, .. } => self.probe(now, target),
                 TrafficAction::Part { .. }
                 | TrafficAction::TellLeaving { .. }
+                | TrafficAction::TellRest(_)
                 | TrafficAction::TellBehind => {}
             }
         }
--- a/crates/barleyspool_stands/src/target.rs
+++ b/crates/barleyspool_stands/src/target.rs
@@ -188,6 +188,7 @@
             not_run: output.is_none(),
             output: output.map(|output| Blob(Arc::from(output))),
             leaving: report.leaving,
+            rest_ms: 0,
             load: report.load,
         }
     }
--- a/crates/barleyspool_wire/src/target.rs
+++ b/crates/barleyspool_wire/src/target.rs
@@ -92,6 +92,9 @@
     /// Whether the target is leaving.
     #[serde(default)]
     pub leaving: bool,
+    /// With a refusal: how long the target wants nothing from this node, in milliseconds.
+    #[serde(default)]
+    pub rest_ms: u64,
     /// Its load.
     #[serde(default)]
     pub load: Option<LoadReport>,
