A source that comes back from an older copy of itself is followed into its later era

What callers saw: for up to tens of seconds after the source had been away, calls and pieces went to targets that had left the list meanwhile. Cause: what the source tells is taken only at a revision that is not below the one known, and the source gave its revisions out again. Each node took nothing until the numbers had passed the one it knew. Ruled out: a watch that goes on from a number that means something else (the source answers that with 410, and everything was read again, in vain); entries that lapsed and were kept (they went after two seconds, as they should). Change: a revision holds the era of the source above its number, so that feeds, lists, gossip and relays take a later era for newer. A watch that is answered in another era is not taken. What a copy tells of targets and zones never goes over what is known to be newer: a target that leaves stays so, one that was gone gets nothing until it is written again or has stayed listed for ten seconds, an evacuation holds for ten seconds without being told. On the way a test showed that a copy which is read twice undid what was known: it holds until something newer is written.

--- a/crates/barleyspool_core/src/forward/feed_cursor.rs
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// An answer came; it stands at `at`. A revision never goes back.
+    /// An answer came; it stands at `at`. A revision never goes back: a source that does enters a later era.
     pub fn answered(&mut self, at: Revision) {
         self.failures = 0;
         self.since = Some(self.since.map_or(at, |since| since.max(at)));
--- a/crates/barleyspool_core/src/forward/packed_list.rs
+++ b/crates/barleyspool_core/src/forward/packed_list.rs
@@ -13,6 +13,7 @@
 const LEAVING: u8 = 1;
 const EVACUATED: u8 = 2;
 const UNREADABLE: u8 = 4;
+const DOUBTED: u8 = 8;
 
 /// An address.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -113,6 +114,7 @@
                 leaving: target.flags & LEAVING != 0,
                 evacuated: target.flags & EVACUATED != 0,
                 unreadable: target.flags & UNREADABLE != 0,
+                doubted: target.flags & DOUBTED != 0,
                 cold: Span(target.cold_us),
                 id: target.id,
                 ..TargetEntry::default()
@@ -144,7 +146,10 @@
 
 fn flags(entry: &TargetEntry) -> u8 {
     let bit = |set: bool, bit: u8| if set { bit } else { 0 };
-    bit(entry.leaving, LEAVING) | bit(entry.evacuated, EVACUATED) | bit(entry.unreadable, UNREADABLE)
+    bit(entry.leaving, LEAVING)
+        | bit(entry.evacuated, EVACUATED)
+        | bit(entry.unreadable, UNREADABLE)
+        | bit(entry.doubted, DOUBTED)
 }
 
 /// Packs an address as numbers if these give back the same text.
--- a/crates/barleyspool_core/src/forward/target_counts.rs
+++ b/crates/barleyspool_core/src/forward/target_counts.rs
@@ -14,6 +14,8 @@
     pub evacuated: usize,
     /// With an entry that can't be read.
     pub unreadable: usize,
+    /// Not relied on since their entries came back with an older copy of the source.
+    pub doubted: usize,
     /// Seen to run again under their id.
     pub restarted: usize,
 }
@@ -33,6 +35,7 @@
         self.leaving += usize::from(entry.leaving);
         self.evacuated += usize::from(entry.evacuated);
         self.unreadable += usize::from(entry.unreadable);
+        self.doubted += usize::from(entry.doubted);
         self.restarted += usize::from(entry.times.restarted > Time(0));
     }
 }
--- a/crates/barleyspool_core/src/forward/target_entry.rs
+++ b/crates/barleyspool_core/src/forward/target_entry.rs
@@ -44,6 +44,8 @@
     pub evacuated: bool,
     /// Whether its entry can't be read. The other fields are those of its last readable one.
     pub unreadable: bool,
+    /// Whether its entry came back with an older copy of the source after it was gone, so that the target may be.
+    pub doubted: bool,
     /// How long it stays slow after its start.
     pub cold: Span,
     /// What this node learnt of its life, and when.
@@ -64,6 +66,7 @@
             && self.leaving == other.leaving
             && self.evacuated == other.evacuated
             && self.unreadable == other.unreadable
+            && self.doubted == other.doubted
             && self.cold == other.cold
     }
 }
@@ -86,13 +89,13 @@
     /// Whether new work may go there. Every decision asks this and keeps no opinion of its own, so that a target that is
     /// taken out gets nothing by any way. What it is working on ends by itself.
     pub fn takes_work(&self) -> bool {
-        !self.leaving && !self.evacuated && !self.unreadable
+        !self.leaving && !self.evacuated && !self.unreadable && !self.doubted
     }
 
-    /// Whether it may be told to drop results. One in an evacuated zone, or with an unreadable entry, gets nothing at all;
+    /// Whether it may be told to drop results. One in an evacuated zone, or whose entry can't be read or relied on, gets nothing at all;
     /// results go by themselves after their time.
     pub fn takes_frees(&self) -> bool {
-        !self.evacuated && !self.unreadable
+        !self.evacuated && !self.unreadable && !self.doubted
     }
 
     /// Until when it may be cold, for a service whose targets are cold for `start` after they have started.
@@ -102,6 +105,11 @@
         self.times.warm_at.max(start)
     }
 
+    /// Whether this is the same word of the same run as `known`, or one that the run wrote before it.
+    pub fn is_no_newer(&self, known: &Self) -> bool {
+        self.run == known.run && self.sequence <= known.sequence
+    }
+
     /// Whether this is an older word of the target than `known`: of an earlier run, or one that the same run wrote before.
     /// Words arrive late, and by way of other nodes.
     pub fn is_older(&self, known: (TargetRun, u64)) -> bool {
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -24,11 +24,29 @@
 /// it is: three heartbeats and the two seconds in which entries come back are below six.
 const PAST_KEPT: Span = Span::from_secs(10);
 
+/// How long it is remembered that a target is gone, in case the source comes back from a copy in which it is still listed.
+const GONE_KEPT: Span = Span::from_secs(60);
+
+/// How long a target that was gone is not used when it is listed in a copy from which the source came back. The entry of one that is gone lapses within
+/// three heartbeats, or is removed again when what was written is written again.
+const DOUBT: Span = Span::from_secs(10);
+
 /// The last word of a target that is gone from the list.
 #[derive(Copy, Clone, Debug)]
 struct Past {
     word: (TargetRun, u64),
-    until: Time,
+    at: Time,
+}
+
+/// How far what is told of targets can be relied on.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Words {
+    /// Nothing was known before.
+    First,
+    /// It is newer than what is known, as far as the targets' own counts say nothing else.
+    Newer,
+    /// It stands in a copy from which the source came back, and may be older than what is known.
+    Copied,
 }
 
 /// The list of targets at one revision of the platform.
@@ -55,6 +73,10 @@
     evacuated: BTreeSet<String>,
     /// Runs that have said in an answer that they leave.
     said_leaving: LeavingRuns,
+    /// Targets of which more is known than the source has told since it came back from a copy.
+    kept: BTreeSet<String>,
+    /// Entries that came back although their targets were gone, and until when they are not relied on.
+    doubted: BTreeMap<String, Time>,
     /// Targets that are gone, by id.
     past: BTreeMap<String, Past>,
     /// How it came to be, for nodes that know an older one.
@@ -77,14 +99,15 @@
             return false;
         }
         let first = self.at == Revision(0);
-        self.at = at;
+        let copied = self.enter(now, at);
         self.lapsed.retain(|id, _| !table.contains_key(id));
         let before = Arc::clone(&self.table);
         let words = table.into_values();
         let mut table: TargetTable = words
-            .filter_map(|entry| self.newest(now, entry, first))
+            .filter_map(|entry| self.newest(now, entry, copied))
             .map(|entry| (entry.id.clone(), entry))
             .collect();
+        self.note_doubted(now, table.values());
         if first {
             self.log.restart(at);
         } else {
@@ -114,12 +137,12 @@
         if at < self.at {
             return false;
         }
-        self.at = at;
+        let words = self.enter(now, at);
         self.log.note(at, changes.clone());
         let mut changed = false;
         for change in changes {
             changed |= match change {
-                TargetChange::Put(entry) => self.put(now, entry),
+                TargetChange::Put(entry) => self.put(now, entry, words),
                 TargetChange::Gone(id) if self.table.contains_key(&id) && self.keeps(now, &id) => false,
                 TargetChange::Gone(id) => self.remove(now, &id),
             };
@@ -127,6 +150,21 @@
         self.changed(changed)
     }
 
+    /// Goes on to revision `at`. Returns how far what is told there can be relied on.
+    ///
+    /// When that is a revision of a later era the source has come back from a copy. What was written since the copy is missing there until it is written again.
+    fn enter(&mut self, now: Time, at: Revision) -> Words {
+        let before = std::mem::replace(&mut self.at, at);
+        if before == Revision(0) {
+            return Words::First;
+        }
+        if at.era() == before.era() {
+            return Words::Newer;
+        }
+        self.source_back(now);
+        Words::Copied
+    }
+
     /// Takes which zones are evacuated; true when the list is another one afterwards. Targets of a zone that is opened
     /// again count as just begun: they may have turned cold shortly before, and their own word comes up to a heartbeat later.
     pub fn evacuate(&mut self, now: Time, zones: &BTreeSet<String>) -> bool {
@@ -202,18 +240,49 @@
             self.lapsed.remove(id);
             self.remove(now, id);
         }
-        self.changed(!over.is_empty())
+        let lapsed = self.changed(!over.is_empty());
+        self.expire_doubts(now) || lapsed
+    }
+
+    /// Relies again on entries that came back and are still listed. Each node does so by itself, so others have nothing to ask for.
+    fn expire_doubts(&mut self, now: Time) -> bool {
+        let over = self.doubted.iter().filter(|(_, until)| now >= **until);
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.doubted.remove(id);
+            if let Some(entry) = Arc::make_mut(&mut self.table).get_mut(id) {
+                entry.doubted = false;
+            }
+        }
+        if !over.is_empty() {
+            self.take_apart();
+        }
+        !over.is_empty()
+    }
+
+    /// Notes which of these entries are not relied on for a while.
+    fn note_doubted<'a>(&mut self, now: Time, entries: impl Iterator<Item = &'a TargetEntry>) {
+        for entry in entries {
+            if entry.doubted {
+                self.doubted.entry(entry.id.clone()).or_insert(now + DOUBT);
+            } else {
+                self.doubted.remove(&entry.id);
+            }
+        }
     }
 
-    fn put(&mut self, now: Time, entry: TargetEntry) -> bool {
+    fn put(&mut self, now: Time, entry: TargetEntry, words: Words) -> bool {
         self.lapsed.remove(&entry.id);
-        let Some(entry) = self.newest(now, entry, false) else {
+        let Some(entry) = self.newest(now, entry, words) else {
             return false;
         };
+        self.note_doubted(now, std::iter::once(&entry));
         Arc::make_mut(&mut self.table).insert(entry.id.clone(), entry.clone()) != Some(entry)
     }
 
     fn remove(&mut self, now: Time, id: &str) -> bool {
+        self.doubted.remove(id);
+        self.kept.remove(id);
         let Some(entry) = Arc::make_mut(&mut self.table).remove(id) else {
             return false;
         };
@@ -222,19 +291,30 @@
     }
 
     fn remember(&mut self, now: Time, entry: &TargetEntry) {
-        self.past.retain(|_, past| past.until > now);
+        self.past.retain(|_, past| now.since(past.at) < GONE_KEPT);
         let past = Past {
             word: (entry.run, entry.sequence),
-            until: now + PAST_KEPT,
+            at: now,
         };
         self.past.insert(entry.id.clone(), past);
     }
 
     /// What is to be listed of a target after a word of it: the word with what this node knows besides, or what was known
     /// when that is newer; `None` when the target is gone and the word an older one.
-    fn newest(&self, now: Time, mut word: TargetEntry, first: bool) -> Option<TargetEntry> {
+    fn newest(&mut self, now: Time, mut word: TargetEntry, words: Words) -> Option<TargetEntry> {
+        if let Some(known) = self.kept_word(&word, words) {
+            return Some(known);
+        }
         let known = self.table.get(&word.id);
-        let past = self.past.get(&word.id).filter(|past| past.until > now);
+        let past = self.past.get(&word.id);
+        if words == Words::Copied {
+            word.doubted |= known.is_none() && past.is_some_and(|past| word.run <= past.word.0);
+        }
+        if let Some(known) = known.filter(|known| word.doubted && !known.doubted && word.run == known.run) {
+            // Another node knew it to be gone, but the source has told this one of it since.
+            return Some(known.clone());
+        }
+        let past = past.filter(|past| now.since(past.at) < PAST_KEPT);
         let last = known
             .map(|known| (known.run, known.sequence))
             .or(past.map(|past| past.word));
@@ -259,7 +339,7 @@
                 word.times.began = now;
                 word.times.restarted = now;
             }
-            None if first => {}
+            None if words == Words::First => {}
             None => word.times.began = now,
         }
         let same_report = known.is_some_and(|known| {
@@ -273,6 +353,21 @@
         Some(word)
     }
 
+    /// What is known of a target, when a word of it stands in a copy from which the source came back and the target wrote what is known later. It holds
+    /// also when the copy is read again, until something newer is written.
+    fn kept_word(&mut self, word: &TargetEntry, words: Words) -> Option<TargetEntry> {
+        let known = self.table.get(&word.id)?;
+        if words != Words::Copied && !known.doubted && !self.kept.contains(&word.id) {
+            return None;
+        }
+        if known == word || !word.is_no_newer(known) {
+            self.kept.remove(&word.id);
+            return None;
+        }
+        self.kept.insert(word.id.clone());
+        Some(known.clone())
+    }
+
     /// Whether the run of which an entry tells has said in an answer that it leaves.
     fn has_said_leaving(&self, entry: &TargetEntry) -> bool {
         !self.said_leaving.is_empty() && self.said_leaving.contains(entry.mark())
--- a/crates/barleyspool_core/src/ids.rs
+++ b/crates/barleyspool_core/src/ids.rs
@@ -31,8 +31,31 @@
 );
 id!(
     /// A revision of the configuration service or of the fleet list. It only moves up.
+    ///
+    /// A source that comes back from an older copy of itself gives out its numbers again; each time it enters a later era, and every revision of a
+    /// later era is newer than all of the eras before.
     Revision(u64)
 );
+
+/// The bits of a [`Revision`] that hold its number in its era.
+const NUMBER_BITS: u32 = 48;
+
+impl Revision {
+    /// The revision of that number in an era.
+    pub const fn in_era(era: u16, number: u64) -> Self {
+        Self((era as u64) << NUMBER_BITS | number & ((1 << NUMBER_BITS) - 1))
+    }
+
+    /// Its era.
+    pub const fn era(self) -> u16 {
+        (self.0 >> NUMBER_BITS) as u16
+    }
+
+    /// Its number in its era.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+}
 id!(
     /// The last fleet-list revision that changed the set of entry nodes of a cell.
     Epoch(u64)
--- a/crates/barleyspool_core/tests/target_lives.rs
+++ b/crates/barleyspool_core/tests/target_lives.rs
@@ -5,9 +5,9 @@
 mod pool_calls;
 
 use barleyspool_core::{
-    CallOutcome, Choose, Evacuations, ForwardPlan, ForwardSettings, Forwarder, Need, OrderEnd, PieceOrder,
-    PieceQueue, PoolSpec, Revision, SendEnd, Span, TargetChange, TargetEntry, TargetRun, TargetStore,
-    TargetTable, Time, service_targets,
+    CallOutcome, Choose, Evacuations, ForwardPlan, ForwardSettings, Forwarder, Need, OrderEnd, PackedList,
+    PieceOrder, PieceQueue, PoolSpec, Revision, SendEnd, Span, TargetChange, TargetEntry, TargetRun,
+    TargetStore, TargetTable, Time, service_targets,
 };
 use pool_calls::made;
 use quickcheck::quickcheck;
@@ -227,6 +227,134 @@
     }
 }
 
+// ----------------------------------------------------------------------------
+// A source that goes back
+
+/// What a source tells that has come back from a copy.
+fn in_later_era(number: u64) -> Revision {
+    Revision::in_era(1, number)
+}
+
+fn ids(store: &TargetStore) -> Vec<&str> {
+    let used = store.table.values().filter(|entry| entry.takes_work());
+    used.map(|entry| entry.id.as_str()).collect()
+}
+
+/// Guards against changes that are taken for old ones since the numbers of revisions go back.
+#[test]
+fn every_revision_of_a_later_era_is_newer() {
+    assert!(Revision::in_era(1, 3) > Revision::in_era(0, 900));
+    assert_eq!(Revision::in_era(0, 900), Revision(900));
+    let later = Revision::in_era(7, 900);
+    assert_eq!((later.era(), later.number()), (7, 900));
+    let mut store = store(&[entry("1", 0, 1), entry("2", 0, 1)]);
+    put(&mut store, at(1), entry("3", 0, 1));
+    store.apply(at(2), Revision(900), Vec::new());
+    let copy = table(&[entry("1", 0, 5), entry("2", 0, 5)]);
+    store.replace(at(1000), in_later_era(20), copy);
+    store.apply(
+        at(1100),
+        in_later_era(21),
+        vec![TargetChange::Put(leaving(entry("1", 0, 6)))],
+    );
+    store.apply(
+        at(1200),
+        in_later_era(22),
+        vec![TargetChange::Gone("2".to_owned())],
+    );
+    assert_eq!(ids(&store), ["2", "3"], "a live one may write its entry again");
+    assert!(store.expire(at(3100)));
+    assert!(ids(&store).is_empty(), "neither has");
+}
+
+/// Guards against targets that are used again because an older copy of the source calls them ready.
+#[test]
+fn what_was_known_of_targets_that_leave_holds_against_an_older_copy() {
+    for run in [0, 1000] {
+        let mut store = store(&[entry("1", run, 1), entry("2", run, 1), entry("3", run, 1)]);
+        put(&mut store, at(1), leaving(entry("1", run, 30)));
+        store.apply(at(2), Revision(50), vec![TargetChange::Gone("2".to_owned())]);
+        let copy = || table(&[entry("1", run, 25), entry("2", run, 25), entry("3", run, 25)]);
+        store.replace(at(5000), in_later_era(20), copy());
+        assert_eq!(ids(&store), ["3"], "run {run}");
+        // Read again, by way of another node or after a watch that broke.
+        store.replace(at(6000), in_later_era(21), copy());
+        assert_eq!(ids(&store), ["3"], "run {run}, read again");
+        store.apply(
+            at(7000),
+            in_later_era(22),
+            vec![TargetChange::Gone("2".to_owned())],
+        );
+        put(&mut store, at(7000), leaving(entry("1", run, 31)));
+        store.expire(at(60_000));
+        assert_eq!(ids(&store), ["3"], "run {run}, written again");
+    }
+}
+
+/// Guards against a live target that is never used again because its entry had lapsed before the source came back from a copy.
+#[test]
+fn a_target_that_came_back_with_a_copy_is_used_again_when_it_stays_listed() {
+    let mut store = store(&[entry("1", 0, 1), entry("2", 0, 1)]);
+    store.apply(at(2), Revision(50), vec![TargetChange::Gone("2".to_owned())]);
+    let copy = table(&[entry("1", 0, 25), entry("2", 0, 25)]);
+    store.replace(at(5000), in_later_era(20), copy);
+    let changed_at = store.changed_at;
+    assert!(!store.expire(at(14_000)));
+    assert!(store.expire(at(15_000)));
+    assert_eq!(ids(&store), ["1", "2"]);
+    assert_eq!(store.changed_at, changed_at, "the source has told nothing new");
+    assert_eq!(store.services["s"].working, 2);
+}
+
+/// Guards against a node that takes a list from another one and uses what that one does not rely on, or for ever distrusts it.
+#[test]
+fn what_one_node_does_not_rely_on_another_does_not_either_but_for_what_it_knows_itself() {
+    let doubted = |id: &str| TargetEntry {
+        doubted: true,
+        ..entry(id, 0, 25)
+    };
+    let mut new = TargetStore::default();
+    new.replace(at(0), in_later_era(20), table(&[entry("1", 0, 25), doubted("2")]));
+    assert_eq!(ids(&new), ["1"]);
+    assert!(new.expire(at(10_000)));
+    assert_eq!(ids(&new), ["1", "2"]);
+    let mut knows = store(&[entry("1", 0, 1), entry("2", 0, 1)]);
+    let list = table(&[entry("1", 0, 25), doubted("2")]);
+    let packed = PackedList::pack(&list).unpack().expect("it was packed here");
+    knows.replace(at(0), in_later_era(20), packed);
+    assert_eq!(ids(&knows), ["1", "2"]);
+}
+
+/// Guards against a zone whose evacuation is undone by an older copy, and against one that stays evacuated for ever although nobody wants it.
+#[test]
+fn an_evacuation_holds_against_an_older_copy_until_it_is_told_again_or_is_not() {
+    let known = || {
+        let mut evacuations = Evacuations::default();
+        evacuations.replace(at(0), Revision(50), zones(&["a"]));
+        evacuations
+    };
+    let mut told = known();
+    assert!(!told.replace(at(1000), in_later_era(20), zones(&[])));
+    assert_eq!(told.zones, zones(&["a"]));
+    told.apply(in_later_era(21), vec![("a".to_owned(), true)]);
+    assert!(!told.expire(at(60_000)), "the operator wants it");
+    let mut opened = known();
+    opened.replace(at(1000), in_later_era(20), zones(&[]));
+    opened.apply(in_later_era(21), vec![("a".to_owned(), false)]);
+    assert_eq!(opened.zones, zones(&[]));
+    let mut forgotten = known();
+    forgotten.replace(at(1000), in_later_era(20), zones(&["b"]));
+    assert_eq!(forgotten.zones, zones(&["a", "b"]));
+    let mut other = Evacuations::default();
+    other.take(at(2000), forgotten.clone());
+    for (evacuations, over) in [(&mut forgotten, at(11_000)), (&mut other, at(12_000))] {
+        assert!(!evacuations.replace(at(3000), in_later_era(22), zones(&["b"])));
+        assert!(!evacuations.expire(over - Span::from_millis(1)));
+        assert!(evacuations.expire(over));
+        assert_eq!(evacuations.zones, zones(&["b"]));
+    }
+}
+
 // ----------------------------------------------------------------------------
 // Evacuated zones
 
@@ -237,10 +365,10 @@
 #[test]
 fn what_was_read_earlier_opens_no_zone_again() {
     let mut evacuations = Evacuations::default();
-    assert!(!evacuations.replace(Revision(5), zones(&[])));
+    assert!(!evacuations.replace(at(0), Revision(5), zones(&[])));
     assert!(evacuations.apply(Revision(9), vec![("a".to_owned(), true)]));
     assert!(
-        !evacuations.replace(Revision(8), zones(&[])),
+        !evacuations.replace(at(0), Revision(8), zones(&[])),
         "another node was behind"
     );
     assert_eq!(evacuations.zones, zones(&["a"]));
@@ -256,7 +384,7 @@
     ));
     assert_eq!(evacuations.zones, zones(&["b"]));
     assert!(
-        evacuations.replace(Revision(20), zones(&[])),
+        evacuations.replace(at(0), Revision(20), zones(&[])),
         "a whole read tells what was missed"
     );
 }
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -39,7 +39,7 @@
                     tokio::time::sleep(GATHER).await;
                 }
             }
-            Err(SourceError::HistoryGone) => cursor.start_over(),
+            Err(SourceError::HistoryGone | SourceError::WentBack) => cursor.start_over(),
             Err(SourceError::Overtaken) => cursor.resume(state.held_at(feed)),
             Err(error) => {
                 state.feed_result(feed, Some(&error.to_string()));
@@ -73,6 +73,9 @@
         let page = timed(READ, source.read(feed, from)).await?;
         // Pages are no snapshot: what changes while they are read is told by the watch from the first one on.
         let at = *first_at.get_or_insert(page.at);
+        if page.at.era() != at.era() {
+            return Err(SourceError::WentBack);
+        }
         for item in page.items {
             whole.take(state, item);
         }
@@ -142,6 +145,10 @@
     let limit = Duration::from_micros((wait + WATCH_MARGIN).0);
     state.shared.count_source_call();
     let changes = timed(limit, source.watch(feed, since, wait)).await?;
+    if changes.at.era() != since.era() {
+        // What it tells follows another revision of that number.
+        return Err(SourceError::WentBack);
+    }
     state.take_changes(feed, changes.at, changes.changes);
     Ok(changes.at.max(since))
 }
--- a/crates/barleyspool_gateway/src/control/follow.rs
+++ b/crates/barleyspool_gateway/src/control/follow.rs
@@ -153,7 +153,7 @@
     let from = peer.to_string();
     let from = Origin::Node(&from);
     // Before what may open a first way to targets of these zones.
-    state.replace_evacuations(known.evacuations.at, known.evacuations.zones, from);
+    state.take_evacuations(known.evacuations, from);
     let accepted = match known.configuration {
         Part::Same => false,
         Part::Changes(changes) => state.offer_changes(changes, from),
--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -4,8 +4,8 @@
 use crate::edges::{Feed, SourceChange};
 use crate::event_log::Line;
 use barleyspool_core::{
-    CatalogChange, CatalogDocument, CatalogStore, Lapsing, Offered, Revision, RunMark, TargetChange,
-    TargetCounts, TargetEntry, TargetTable,
+    CatalogChange, CatalogDocument, CatalogStore, Evacuations, Lapsing, Offered, Revision, RunMark,
+    TargetChange, TargetCounts, TargetEntry, TargetTable,
 };
 use std::collections::BTreeSet;
 
@@ -64,6 +64,7 @@
     /// Takes a whole list of targets. Returns whether it is another one than before.
     pub fn replace_targets(&self, at: Revision, table: TargetTable, from: Origin) -> bool {
         let first = !self.targets_known.replace(true);
+        self.notice_era(at, from);
         let changed = self.targets.borrow_mut().replace(self.now(), at, table);
         if changed || first {
             self.targets_changed(from);
@@ -73,6 +74,7 @@
 
     /// Takes changes of the list of targets. Returns whether it is another one than before.
     pub fn apply_targets(&self, at: Revision, changes: Vec<TargetChange>, from: Origin) -> bool {
+        self.notice_era(at, from);
         let changed = self.targets.borrow_mut().apply(self.now(), at, changes);
         if changed {
             self.targets_changed(from);
@@ -80,6 +82,21 @@
         changed
     }
 
+    /// Logs that the list of targets is about to stand at a revision of a later era.
+    fn notice_era(&self, at: Revision, from: Origin) {
+        let before = self.targets.borrow().at;
+        if before == Revision(0) || at.era() <= before.era() {
+            return;
+        }
+        let line = Line::SourceWentBack {
+            era: at.era(),
+            at: at.number(),
+            before: before.number(),
+            from: from.name(),
+        };
+        self.log.write(self.now(), &line);
+    }
+
     /// Notes which entries of a list that stands at `at` are missing at the source and may come back.
     pub fn note_lapsing(&self, at: Revision, lapsing: Lapsing) {
         let now = self.now();
@@ -88,7 +105,15 @@
 
     /// Takes the zones that were evacuated at revision `at`.
     pub fn replace_evacuations(&self, at: Revision, zones: BTreeSet<String>, from: Origin) {
-        let changed = self.evacuations.borrow_mut().replace(at, zones);
+        let changed = self.evacuations.borrow_mut().replace(self.now(), at, zones);
+        if changed {
+            self.evacuations_changed(from);
+        }
+    }
+
+    /// Takes the zones that another node knows to be evacuated.
+    pub fn take_evacuations(&self, evacuations: Evacuations, from: Origin) {
+        let changed = self.evacuations.borrow_mut().take(self.now(), evacuations);
         if changed {
             self.evacuations_changed(from);
         }
@@ -101,7 +126,7 @@
         };
         let line = Line::Evacuated {
             zones: &zones.iter().map(String::as_str).collect::<Vec<_>>().join(","),
-            at: at.0,
+            at: at.number(),
             from: from.name(),
         };
         self.log.write(self.now(), &line);
@@ -148,8 +173,12 @@
         }
     }
 
-    /// Takes entries as gone that lapsed while the source was away and did not come back.
+    /// Takes entries as gone that lapsed while the source was away and did not come back, and relies again on what is still told after the source came back
+    /// from a copy.
     pub fn expire_targets(&self) {
+        if self.evacuations.borrow_mut().expire(self.now()) {
+            self.evacuations_changed(Origin::Lapse);
+        }
         if self.targets.borrow_mut().expire(self.now()) {
             self.targets_changed(Origin::Lapse);
         }
@@ -182,7 +211,7 @@
     fn targets_changed(&self, from: Origin) {
         let (counts, at) = {
             let store = self.targets.borrow();
-            (TargetCounts::of(&store.table), store.at.0)
+            (TargetCounts::of(&store.table), store.at.number())
         };
         let line = Line::Targets {
             targets: counts.listed,
@@ -190,6 +219,7 @@
             evacuated: counts.evacuated,
             unreadable: counts.unreadable,
             restarted: counts.restarted,
+            doubted: counts.doubted,
             at,
             from: from.name(),
         };
--- a/crates/barleyspool_gateway/src/edges.rs
+++ b/crates/barleyspool_gateway/src/edges.rs
@@ -209,6 +209,8 @@
 pub enum SourceError {
     /// the source has forgotten its history
     HistoryGone,
+    /// the source has come back from a copy since
+    WentBack,
     /// another node knows what this watch should have told
     Overtaken,
     /// the source refused: status {0}
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -87,6 +87,19 @@
         unreadable: usize,
         /// How many were seen to run again under their id.
         restarted: usize,
+        /// How many get nothing because their entries came back with an older copy of the source.
+        doubted: usize,
+    },
+    /// The source has come back from an older copy of itself, so that its revisions go back.
+    SourceWentBack {
+        /// Its era: how often it has, as it tells.
+        era: u16,
+        /// The revision in the era at which the list of targets stands now.
+        at: u64,
+        /// The revision at which it stood, in the era before.
+        before: u64,
+        /// From whom it came.
+        from: &'a str,
     },
     /// Other zones than before are evacuated.
     Evacuated {
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -123,6 +123,9 @@
     gauge(meter, shared, "targets_unreadable", |shared| {
         counts(shared).unreadable as u64
     });
+    gauge(meter, shared, "targets_doubted", |shared| {
+        counts(shared).doubted as u64
+    });
     gauge(meter, shared, "targets_restarted", |shared| {
         counts(shared).restarted as u64
     });
