What a node knows beside the list in a module of its own; one queue for what is passed on in turn

target_store held the list, what was gone, who left and what a copy must not undo: the latter are TargetMemory now. Three updates of members each had the same queue: Turn. Otherwise behaviour stays.

--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -44,6 +44,7 @@
 mod target_counts;
 mod target_entry;
 mod target_log;
+mod target_memory;
 mod target_record;
 mod target_rest;
 mod target_store;
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/target_memory.rs
@@ -0,0 +1,128 @@
+//! What a node knows of targets beside what the list tells of them now.
+
+use super::{LeavingRuns, TargetEntry, TargetRun, TargetTable};
+use crate::{RunMark, Span, Time};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+/// How long the last word of a target that is gone is remembered, so that an older one that arrives late is known for what
+/// it is: three heartbeats and the two seconds in which entries come back are below six.
+const PAST_KEPT: Span = Span::from_secs(10);
+
+/// How long it is remembered that a target is gone, in case the source comes back from a copy in which it is still listed.
+const GONE_KEPT: Span = Span::from_secs(60);
+
+/// How long a target that was gone is not used when it is listed in a copy from which the source came back. The entry of one that is gone lapses within
+/// three heartbeats, or is removed again when what was written is written again.
+const DOUBT: Span = Span::from_secs(10);
+
+/// How far what is told of targets can be relied on.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(super) enum Words {
+    /// Nothing was known before.
+    First,
+    /// It is newer than what is known, as far as the targets' own counts say nothing else.
+    Newer,
+    /// It stands in a copy from which the source came back, and may be older than what is known.
+    Copied,
+}
+
+/// The last word of a target that is gone from the list.
+#[derive(Copy, Clone, Debug)]
+struct Past {
+    word: (TargetRun, u64),
+    at: Time,
+}
+
+/// What a node knows of targets beside what the list tells of them now.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TargetMemory {
+    /// Runs that have said in an answer that they leave.
+    said_leaving: LeavingRuns,
+    /// Targets of which more is known than the source has told since it came back from a copy.
+    kept: BTreeSet<String>,
+    /// Entries that came back although their targets were gone, and until when they are not relied on.
+    doubted: BTreeMap<String, Time>,
+    /// Targets that are gone, by id.
+    past: BTreeMap<String, Past>,
+}
+
+impl TargetMemory {
+    // ------------------------------------------------------------------------
+    // Targets that leave
+
+    /// A run has said in an answer that it leaves. That is remembered for as long as it is listed.
+    pub(super) fn note_leaving(&mut self, now: Time, run: RunMark, table: &TargetTable) {
+        let listed: HashSet<RunMark> = table.values().map(TargetEntry::mark).collect();
+        self.said_leaving.forget(now, |run| listed.contains(&run));
+        self.said_leaving.note(now, run);
+    }
+
+    /// Whether the run of which an entry tells has said in an answer that it leaves.
+    pub(super) fn has_said_leaving(&self, entry: &TargetEntry) -> bool {
+        !self.said_leaving.is_empty() && self.said_leaving.contains(entry.mark())
+    }
+
+    // ------------------------------------------------------------------------
+    // Targets that are gone
+
+    /// A target is gone from the list.
+    pub(super) fn gone(&mut self, now: Time, entry: &TargetEntry) {
+        self.kept.remove(&entry.id);
+        self.doubted.remove(&entry.id);
+        self.past.retain(|_, past| now.since(past.at) < GONE_KEPT);
+        let past = Past {
+            word: (entry.run, entry.sequence),
+            at: now,
+        };
+        self.past.insert(entry.id.clone(), past);
+    }
+
+    /// The last word of a target that went a short while ago.
+    pub(super) fn last_word(&self, now: Time, id: &str) -> Option<(TargetRun, u64)> {
+        let past = self.past.get(id)?;
+        (now.since(past.at) < PAST_KEPT).then_some(past.word)
+    }
+
+    // ------------------------------------------------------------------------
+    // A source that came back from a copy
+
+    /// Whether a word tells of a target that went before the source came back from a copy in which the word stands.
+    pub(super) fn is_of_gone(&self, word: &TargetEntry) -> bool {
+        let past = self.past.get(&word.id);
+        past.is_some_and(|past| word.run <= past.word.0)
+    }
+
+    /// Whether what is known of a target holds against a word of it: the word stands in a copy from which the source came back, and the target wrote what is
+    /// known later. That is so also when the copy is read again, until something newer is written.
+    pub(super) fn keeps(&mut self, known: &TargetEntry, word: &TargetEntry, words: Words) -> bool {
+        let may_be_old = words == Words::Copied || known.doubted || self.kept.contains(&word.id);
+        if !may_be_old {
+            return false;
+        }
+        if known == word || word.unreadable || !word.is_no_newer(known) {
+            self.kept.remove(&word.id);
+            return false;
+        }
+        self.kept.insert(word.id.clone());
+        true
+    }
+
+    /// Notes whether an entry that is listed now is relied on.
+    pub(super) fn note_doubt(&mut self, now: Time, entry: &TargetEntry) {
+        if entry.doubted {
+            self.doubted.entry(entry.id.clone()).or_insert(now + DOUBT);
+        } else {
+            self.doubted.remove(&entry.id);
+        }
+    }
+
+    /// Takes the targets that are relied on again, since they have stayed listed.
+    pub(super) fn take_confirmed(&mut self, now: Time) -> Vec<String> {
+        let over = self.doubted.iter().filter(|(_, until)| now >= **until);
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.doubted.remove(id);
+        }
+        over
+    }
+}
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -1,7 +1,8 @@
 //! The list of targets that the platform last told, itself or by way of other nodes.
 
 use super::target_log::TargetLog;
-use super::{ForwardPlan, LeavingRuns, ServiceTargets, TargetEntry, TargetRun, TargetTable, service_targets};
+use super::target_memory::{TargetMemory, Words};
+use super::{ForwardPlan, ServiceTargets, TargetEntry, TargetRun, TargetTable, service_targets};
 use crate::{Revision, RunMark, Span, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -20,35 +21,6 @@
 /// again within about this time (docs/PLATFORM.md).
 pub const LAPSE_GRACE: Span = Span::from_secs(2);
 
-/// How long the last word of a target that is gone is remembered, so that an older one that arrives late is known for what
-/// it is: three heartbeats and the two seconds in which entries come back are below six.
-const PAST_KEPT: Span = Span::from_secs(10);
-
-/// How long it is remembered that a target is gone, in case the source comes back from a copy in which it is still listed.
-const GONE_KEPT: Span = Span::from_secs(60);
-
-/// How long a target that was gone is not used when it is listed in a copy from which the source came back. The entry of one that is gone lapses within
-/// three heartbeats, or is removed again when what was written is written again.
-const DOUBT: Span = Span::from_secs(10);
-
-/// The last word of a target that is gone from the list.
-#[derive(Copy, Clone, Debug)]
-struct Past {
-    word: (TargetRun, u64),
-    at: Time,
-}
-
-/// How far what is told of targets can be relied on.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-enum Words {
-    /// Nothing was known before.
-    First,
-    /// It is newer than what is known, as far as the targets' own counts say nothing else.
-    Newer,
-    /// It stands in a copy from which the source came back, and may be older than what is known.
-    Copied,
-}
-
 /// The list of targets at one revision of the platform.
 #[derive(Clone, Debug, Default)]
 pub struct TargetStore {
@@ -71,14 +43,8 @@
     back_until: Time,
     /// The zones that are evacuated.
     evacuated: BTreeSet<String>,
-    /// Runs that have said in an answer that they leave.
-    said_leaving: LeavingRuns,
-    /// Targets of which more is known than the source has told since it came back from a copy.
-    kept: BTreeSet<String>,
-    /// Entries that came back although their targets were gone, and until when they are not relied on.
-    doubted: BTreeMap<String, Time>,
-    /// Targets that are gone, by id.
-    past: BTreeMap<String, Past>,
+    /// What is known of targets beside the list.
+    memory: TargetMemory,
     /// How it came to be, for nodes that know an older one.
     log: TargetLog,
 }
@@ -107,7 +73,9 @@
             .filter_map(|entry| self.newest(now, entry, copied))
             .map(|entry| (entry.id.clone(), entry))
             .collect();
-        self.note_doubted(now, table.values());
+        for entry in table.values() {
+            self.memory.note_doubt(now, entry);
+        }
         if first {
             self.log.restart(at);
         } else {
@@ -120,7 +88,7 @@
             if self.keeps(now, id) {
                 table.insert(id.clone(), entry.clone());
             } else {
-                self.remember(now, entry);
+                self.memory.gone(now, entry);
             }
         }
         // The first list is told to others also when it is empty.
@@ -190,11 +158,9 @@
     /// A run of a target has said in an answer that it leaves; true when that is new to the list. It is no change of what the source tells, so
     /// other nodes have nothing to ask for.
     pub fn note_leaving(&mut self, now: Time, run: RunMark) -> bool {
-        let listed = self.table.values().map(|entry| (entry.mark(), entry));
-        let listed: HashMap<RunMark, &TargetEntry> = listed.collect();
-        self.said_leaving.forget(now, |run| listed.contains_key(&run));
-        self.said_leaving.note(now, run);
-        let staying = listed.get(&run).filter(|entry| !entry.leaving);
+        self.memory.note_leaving(now, run, &self.table);
+        let mut listed = self.table.values();
+        let staying = listed.find(|entry| entry.mark() == run && !entry.leaving);
         let Some(id) = staying.map(|entry| entry.id.clone()) else {
             return false;
         };
@@ -246,29 +212,16 @@
 
     /// Relies again on entries that came back and are still listed. Each node does so by itself, so others have nothing to ask for.
     fn expire_doubts(&mut self, now: Time) -> bool {
-        let over = self.doubted.iter().filter(|(_, until)| now >= **until);
-        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
-        for id in &over {
-            self.doubted.remove(id);
+        let confirmed = self.memory.take_confirmed(now);
+        for id in &confirmed {
             if let Some(entry) = Arc::make_mut(&mut self.table).get_mut(id) {
                 entry.doubted = false;
             }
         }
-        if !over.is_empty() {
+        if !confirmed.is_empty() {
             self.take_apart();
         }
-        !over.is_empty()
-    }
-
-    /// Notes which of these entries are not relied on for a while.
-    fn note_doubted<'a>(&mut self, now: Time, entries: impl Iterator<Item = &'a TargetEntry>) {
-        for entry in entries {
-            if entry.doubted {
-                self.doubted.entry(entry.id.clone()).or_insert(now + DOUBT);
-            } else {
-                self.doubted.remove(&entry.id);
-            }
-        }
+        !confirmed.is_empty()
     }
 
     fn put(&mut self, now: Time, entry: TargetEntry, words: Words) -> bool {
@@ -276,48 +229,37 @@
         let Some(entry) = self.newest(now, entry, words) else {
             return false;
         };
-        self.note_doubted(now, std::iter::once(&entry));
+        self.memory.note_doubt(now, &entry);
         Arc::make_mut(&mut self.table).insert(entry.id.clone(), entry.clone()) != Some(entry)
     }
 
     fn remove(&mut self, now: Time, id: &str) -> bool {
-        self.doubted.remove(id);
-        self.kept.remove(id);
         let Some(entry) = Arc::make_mut(&mut self.table).remove(id) else {
             return false;
         };
-        self.remember(now, &entry);
+        self.memory.gone(now, &entry);
         true
     }
 
-    fn remember(&mut self, now: Time, entry: &TargetEntry) {
-        self.past.retain(|_, past| now.since(past.at) < GONE_KEPT);
-        let past = Past {
-            word: (entry.run, entry.sequence),
-            at: now,
-        };
-        self.past.insert(entry.id.clone(), past);
-    }
-
     /// What is to be listed of a target after a word of it: the word with what this node knows besides, or what was known
     /// when that is newer; `None` when the target is gone and the word an older one.
     fn newest(&mut self, now: Time, mut word: TargetEntry, words: Words) -> Option<TargetEntry> {
-        if let Some(known) = self.kept_word(&word, words) {
-            return Some(known);
-        }
         let known = self.table.get(&word.id);
-        let past = self.past.get(&word.id);
-        if words == Words::Copied {
-            word.doubted |= known.is_none() && past.is_some_and(|past| word.run <= past.word.0);
+        if let Some(known) = known
+            && self.memory.keeps(known, &word, words)
+        {
+            return Some(known.clone());
+        }
+        if words == Words::Copied && known.is_none() {
+            word.doubted |= self.memory.is_of_gone(&word);
         }
         if let Some(known) = known.filter(|known| word.doubted && !known.doubted && word.run == known.run) {
             // Another node knew it to be gone, but the source has told this one of it since.
             return Some(known.clone());
         }
-        let past = past.filter(|past| now.since(past.at) < PAST_KEPT);
         let last = known
             .map(|known| (known.run, known.sequence))
-            .or(past.map(|past| past.word));
+            .or_else(|| self.memory.last_word(now, &word.id));
         // A target that ever told which start of it this is always does.
         let run_missing = word.run == TargetRun(0) && last.is_some_and(|(run, _)| run != TargetRun(0));
         if (word.unreadable || run_missing)
@@ -330,7 +272,7 @@
         if last.is_some_and(|last| word.is_older(last)) {
             return known.cloned();
         }
-        word.leaving |= self.has_said_leaving(&word);
+        word.leaving |= self.memory.has_said_leaving(&word);
         word.evacuated = self.evacuated.contains(&word.zone);
         word.times = known.map(|known| known.times).unwrap_or_default();
         match last {
@@ -353,26 +295,6 @@
         Some(word)
     }
 
-    /// What is known of a target, when a word of it stands in a copy from which the source came back and the target wrote what is known later. It holds
-    /// also when the copy is read again, until something newer is written.
-    fn kept_word(&mut self, word: &TargetEntry, words: Words) -> Option<TargetEntry> {
-        let known = self.table.get(&word.id)?;
-        if words != Words::Copied && !known.doubted && !self.kept.contains(&word.id) {
-            return None;
-        }
-        if known == word || !word.is_no_newer(known) {
-            self.kept.remove(&word.id);
-            return None;
-        }
-        self.kept.insert(word.id.clone());
-        Some(known.clone())
-    }
-
-    /// Whether the run of which an entry tells has said in an answer that it leaves.
-    fn has_said_leaving(&self, entry: &TargetEntry) -> bool {
-        !self.said_leaving.is_empty() && self.said_leaving.contains(entry.mark())
-    }
-
     /// Whether an entry that is missing now is kept for a while, because it may have lapsed.
     fn keeps(&mut self, now: Time, id: &str) -> bool {
         if now < self.back_until {
--- a/crates/barleyspool_core/src/membership/crash_updates.rs
+++ b/crates/barleyspool_core/src/membership/crash_updates.rs
@@ -6,9 +6,10 @@
 //! within seconds after they are back.
 
 use super::table::Membership;
+use super::turn::Turn;
 use super::{Member, MemberAction, MemberHealth, MemberQuestion};
 use crate::{CallPrint, CrashTable, CrashUpdate, Learnt, RunMark, Time, rendezvous};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 /// Nodes that hear of every end under a call, in different zones. A zone may be lost, and another datagram, without anything being
 /// missed.
@@ -27,7 +28,7 @@
 pub(super) struct Crashes {
     table: CrashTable,
     /// Confirmed calls in the order in which they are told; the newest first, and then each in turn.
-    turn: VecDeque<CallPrint>,
+    turn: Turn<CallPrint>,
 }
 
 impl Membership {
@@ -59,25 +60,17 @@
 
     /// The calls that go with a message which has room for `room` more updates of nodes; these are larger.
     pub(super) fn next_crashes(&mut self, now: Time, room: usize) -> Vec<CrashUpdate> {
-        let mut told = Vec::new();
-        for _ in 0..self.crashes.turn.len() {
-            if told.len() == IN_MESSAGE + room {
-                break;
-            }
-            let Some(print) = self.crashes.turn.pop_front() else {
-                break;
-            };
-            if self.crashes.table.is_confirmed(now, print) {
-                told.extend(self.crashes.table.update_of(now, print));
-                self.crashes.turn.push_back(print);
-            }
-        }
-        told
+        let Crashes { table, turn } = &mut self.crashes;
+        let confirmed = |print| {
+            table
+                .is_confirmed(now, print)
+                .then(|| table.update_of(now, print))
+        };
+        turn.take(IN_MESSAGE + room, |print| confirmed(print).flatten())
     }
 
     fn spread(&mut self, now: Time, print: CallPrint, told: usize) {
-        self.crashes.turn.retain(|known| *known != print);
-        self.crashes.turn.push_front(print);
+        self.crashes.turn.put_first(print);
         self.actions.push(MemberAction::CallsRefused);
         let told = self.some_reachable(told);
         self.notify_crash(now, print, told);
--- a/crates/barleyspool_core/src/membership/leaving_updates.rs
+++ b/crates/barleyspool_core/src/membership/leaving_updates.rs
@@ -4,9 +4,9 @@
 //! each round, so that nodes that start, sleep or are cut off learn what they missed.
 
 use super::table::Membership;
+use super::turn::Turn;
 use super::{MemberAction, MemberQuestion};
 use crate::{LeavingRuns, LeavingUpdate, RunMark, Time};
-use std::collections::VecDeque;
 
 /// Nodes that are notified at once by the one that reads an answer.
 const NOTIFIED_FIRST: usize = 16;
@@ -20,7 +20,7 @@
 pub(super) struct Leaving {
     runs: LeavingRuns,
     /// The runs in the order in which they are passed on; each in turn.
-    turn: VecDeque<RunMark>,
+    turn: Turn<RunMark>,
 }
 
 impl Membership {
@@ -58,16 +58,8 @@
 
     /// Tells a node some of what is known, in turn.
     pub(super) fn share_leaving(&mut self, now: Time, to: &str) {
-        let mut updates = Vec::new();
-        for _ in 0..self.leaving.turn.len().min(IN_MESSAGE) {
-            let Some(run) = self.leaving.turn.pop_front() else {
-                break;
-            };
-            if let Some(update) = self.leaving.runs.update_of(now, run) {
-                updates.push(update);
-                self.leaving.turn.push_back(run);
-            }
-        }
+        let Leaving { runs, turn } = &mut self.leaving;
+        let updates = turn.take(IN_MESSAGE, |run| runs.update_of(now, run));
         if !updates.is_empty() {
             self.notify(to.to_owned(), MemberQuestion::Leaving { updates }, Vec::new());
         }
@@ -75,7 +67,7 @@
 
     fn spread_leaving(&mut self, now: Time, run: RunMark, nodes: usize) {
         self.actions.push(MemberAction::TargetLeaves { run });
-        self.leaving.turn.push_front(run);
+        self.leaving.turn.put_first(run);
         let updates: Vec<LeavingUpdate> = self.leaving.runs.update_of(now, run).into_iter().collect();
         for to in self.some_reachable(nodes) {
             let updates = updates.clone();
--- a/crates/barleyspool_core/src/membership/limit_updates.rs
+++ b/crates/barleyspool_core/src/membership/limit_updates.rs
@@ -5,9 +5,9 @@
 //! learn within seconds what they missed.
 
 use super::table::Membership;
+use super::turn::Turn;
 use super::{MemberAction, MemberQuestion};
 use crate::{LimitReport, LimitTable, LimitUpdate, RunMark, Time};
-use std::collections::VecDeque;
 
 /// Nodes that are told at once by the one that reads an answer.
 const NOTIFIED_FIRST: usize = 16;
@@ -21,7 +21,7 @@
 pub(super) struct Limits {
     table: LimitTable,
     /// The targets in the order in which they are told; each in turn.
-    turn: VecDeque<RunMark>,
+    turn: Turn<RunMark>,
 }
 
 impl Membership {
@@ -67,24 +67,15 @@
     /// Tells a node some of what is known, in turn. One that has just started or woken asks every 50 to 100 ms whom it does not know, and hears of limits
     /// before it takes itself for an owner.
     pub(super) fn share_limits(&mut self, now: Time, to: &str) {
-        let mut told = Vec::new();
-        for _ in 0..self.limits.turn.len().min(IN_MESSAGE) {
-            let Some(run) = self.limits.turn.pop_front() else {
-                break;
-            };
-            if let Some(update) = self.limits.table.update_of(now, run) {
-                told.push(update);
-                self.limits.turn.push_back(run);
-            }
-        }
+        let Limits { table, turn } = &mut self.limits;
+        let told = turn.take(IN_MESSAGE, |run| table.update_of(now, run));
         if !told.is_empty() {
             self.send_limits(vec![to.to_owned()], &told);
         }
     }
 
     fn spread_limit(&mut self, now: Time, run: RunMark, told: usize) {
-        self.limits.turn.retain(|known| *known != run);
-        self.limits.turn.push_front(run);
+        self.limits.turn.put_first(run);
         let told = self.some_reachable(told);
         let update = self.limits.table.update_of(now, run);
         self.send_limits(told, update.as_slice());
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -16,6 +16,7 @@
 mod receive;
 mod settings;
 mod table;
+mod turn;
 mod update_queue;
 
 pub use event::{MemberAction, MemberCounts, MemberEvent};
--- a/crates/barleyspool_core/tests/target_lives.rs
+++ b/crates/barleyspool_core/tests/target_lives.rs
@@ -291,6 +291,17 @@
     }
 }
 
+/// Guards against a target that is used on the strength of what was known, although its entry can't be read any more.
+#[test]
+fn an_entry_that_cannot_be_read_in_a_copy_names_no_target_to_use() {
+    let mut store = store(&[entry("1", 0, 30), entry("2", 0, 30)]);
+    let copy = table(&[TargetEntry::unreadable("1"), entry("2", 0, 25)]);
+    store.replace(at(1000), in_later_era(20), copy);
+    assert_eq!(ids(&store), ["2"]);
+    put(&mut store, at(2000), entry("1", 0, 31));
+    assert_eq!(ids(&store), ["1", "2"]);
+}
+
 /// Guards against a live target that is never used again because its entry had lapsed before the source came back from a copy.
 #[test]
 fn a_target_that_came_back_with_a_copy_is_used_again_when_it_stays_listed() {
