--- a/crates/barleyspool_core/src/control/message.rs
+++ b/crates/barleyspool_core/src/control/message.rs
@@ -38,7 +38,7 @@
     /// A target said that it is leaving.
     ToldLeaving(LeavingTarget),
     /// A target wants nothing from this node for a while.
-    ToldRest(TargetRest),
+    AskedRest(TargetRest),
     /// A caller has seen a newer configuration.
     Behind,
     /// A planned stop was asked for.
--- a/crates/barleyspool_core/src/control/mod.rs
+++ b/crates/barleyspool_core/src/control/mod.rs
@@ -132,7 +132,7 @@
             ControlEvent::Replied { asked, reply } => self.replied(now, asked, &reply),
             ControlEvent::Fetched { snapshot } => self.fetched(now, *snapshot),
             ControlEvent::ToldLeaving(target) => self.told_leaving(now, target),
-            ControlEvent::ToldRest(rest) => self.told_rest(now, rest),
+            ControlEvent::AskedRest(rest) => self.asked_rest(now, rest),
             ControlEvent::Behind => self.behind(now),
             ControlEvent::Stop => self.stop(now),
             ControlEvent::Live(live) => self.live = live,
--- a/crates/barleyspool_core/src/control/updates.rs
+++ b/crates/barleyspool_core/src/control/updates.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    pub(super) fn told_rest(&mut self, now: Time, rest: TargetRest) {
+    pub(super) fn asked_rest(&mut self, now: Time, rest: TargetRest) {
         self.rests.retain(|_, until| *until > now);
         let until = self.rests.entry((rest.target, rest.incarnation)).or_default();
         if *until < rest.until {
--- a/crates/barleyspool_core/src/forward/evacuations.rs
+++ b/crates/barleyspool_core/src/forward/evacuations.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
-/// How long a zone stays evacuated that is not in a copy from which the source came back: by then the operator's word is written again.
+/// How long a zone stays evacuated that is not in a copy from which the source came back: by then what the operator wrote is written again.
 const UNCONFIRMED: Span = Span::from_secs(10);
 
 /// The zones that the operator has evacuated, at one revision of the platform. Nothing new is sent to the targets of such a
@@ -19,7 +19,7 @@
     pub at: Revision,
     /// The revision at which it last became another one, as far as this node knows; others are told this one.
     pub changed_at: Revision,
-    /// Those of the zones that the source, which came back from a copy, does not tell any more or not again yet.
+    /// Those of the zones that the source, which came back from a copy, does not list any more or not again yet.
     unconfirmed: BTreeSet<String>,
     /// Until when these stay evacuated; zero when there are none.
     #[serde(skip)]
@@ -53,13 +53,14 @@
         if other.at < self.at {
             return false;
         }
-        if !other.unconfirmed.is_empty() && self.unconfirmed != other.unconfirmed {
-            self.until = now + UNCONFIRMED;
+        let changed = self.replace(now, other.at, other.zones);
+        if !other.unconfirmed.is_empty() {
+            if self.unconfirmed.is_empty() {
+                self.until = now + UNCONFIRMED;
+            }
+            self.unconfirmed.extend(other.unconfirmed);
         }
-        let changed = self.zones != other.zones;
-        self.zones = other.zones;
-        self.unconfirmed = other.unconfirmed;
-        self.took(other.at, changed)
+        changed
     }
 
     /// Opens zones whose time is over; false when there are none.
--- a/crates/barleyspool_core/src/forward/leaving_runs.rs
+++ b/crates/barleyspool_core/src/forward/leaving_runs.rs
@@ -18,7 +18,7 @@
 
 /// Runs of targets that have said in an answer that they leave.
 ///
-/// A run that leaves never takes that back, so whatever node reads it, the others can rely on it. The list of targets tells it
+/// A run that leaves never takes that back, so whatever node reads it, the others can rely on it. The list of targets shows it
 /// later, and not at all while the source is away.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingRuns {
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -86,5 +86,5 @@
 pub use target_counts::TargetCounts;
 pub use target_entry::{TargetEntry, TargetRun, TargetTable, TargetTimes};
 pub use target_record::{TargetKey, TargetRecord};
-pub use target_rest::RestReport;
+pub use target_rest::{LONGEST_REST, RestReport};
 pub use target_store::{LAPSE_GRACE, Lapsing, TargetChange, TargetStore};
--- a/crates/barleyspool_core/src/forward/target_entry.rs
+++ b/crates/barleyspool_core/src/forward/target_entry.rs
@@ -92,7 +92,7 @@
         !self.leaving && !self.evacuated && !self.unreadable && !self.doubted
     }
 
-    /// Whether it may be told to drop results. One in an evacuated zone, or whose entry can't be read or relied on, gets nothing at all;
+    /// Whether it may be asked to drop results. One in an evacuated zone, or whose entry can't be read or relied on, gets nothing at all;
     /// results go by themselves after their time.
     pub fn takes_frees(&self) -> bool {
         !self.evacuated && !self.unreadable && !self.doubted
@@ -105,7 +105,7 @@
         self.times.warm_at.max(start)
     }
 
-    /// Whether this is the same word of the same run as `known`, or one that the run wrote before it.
+    /// Whether this is the same report of the same run as `known`, or one that the run wrote before it.
     pub fn is_no_newer(&self, known: &Self) -> bool {
         self.run == known.run && self.sequence <= known.sequence
     }
--- a/crates/barleyspool_core/src/forward/target_memory.rs
+++ b/crates/barleyspool_core/src/forward/target_memory.rs
@@ -1,10 +1,10 @@
-//! What a node knows of targets beside what the list tells of them now.
+//! What a node knows of targets beside their entries in the list.
 
 use super::{LeavingRuns, TargetEntry, TargetRun, TargetTable};
 use crate::{RunMark, Span, Time};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-/// How long the last word of a target that is gone is remembered, so that an older one that arrives late is known for what
+/// How long the last report of a target that is gone is remembered, so that an older one that arrives late is known for what
 /// it is: three heartbeats and the two seconds in which entries come back are below six.
 const PAST_KEPT: Span = Span::from_secs(10);
 
@@ -15,30 +15,30 @@
 /// three heartbeats, or is removed again when what was written is written again.
 const DOUBT: Span = Span::from_secs(10);
 
-/// How far what is told of targets can be relied on.
+/// How far reports of targets can be relied on.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub(super) enum Words {
+pub(super) enum Freshness {
     /// Nothing was known before.
     First,
-    /// It is newer than what is known, as far as the targets' own counts say nothing else.
+    /// They are newer than what is known, as far as the targets' own counts say nothing else.
     Newer,
-    /// It stands in a copy from which the source came back, and may be older than what is known.
+    /// They stand in a copy from which the source came back, and may be older than what is known.
     Copied,
 }
 
-/// The last word of a target that is gone from the list.
+/// The last report of a target that is gone from the list.
 #[derive(Copy, Clone, Debug)]
 struct Past {
-    word: (TargetRun, u64),
+    report: (TargetRun, u64),
     at: Time,
 }
 
-/// What a node knows of targets beside what the list tells of them now.
+/// What a node knows of targets beside their entries in the list.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TargetMemory {
     /// Runs that have said in an answer that they leave.
     said_leaving: LeavingRuns,
-    /// Targets of which more is known than the source has told since it came back from a copy.
+    /// Targets of which more is known than the source has reported since it came back from a copy.
     kept: BTreeSet<String>,
     /// Entries that came back although their targets were gone, and until when they are not relied on.
     doubted: BTreeMap<String, Time>,
@@ -71,39 +71,39 @@
         self.doubted.remove(&entry.id);
         self.past.retain(|_, past| now.since(past.at) < GONE_KEPT);
         let past = Past {
-            word: (entry.run, entry.sequence),
+            report: (entry.run, entry.sequence),
             at: now,
         };
         self.past.insert(entry.id.clone(), past);
     }
 
-    /// The last word of a target that went a short while ago.
-    pub(super) fn last_word(&self, now: Time, id: &str) -> Option<(TargetRun, u64)> {
+    /// The last report of a target that went a short while ago.
+    pub(super) fn last_report(&self, now: Time, id: &str) -> Option<(TargetRun, u64)> {
         let past = self.past.get(id)?;
-        (now.since(past.at) < PAST_KEPT).then_some(past.word)
+        (now.since(past.at) < PAST_KEPT).then_some(past.report)
     }
 
     // ------------------------------------------------------------------------
     // A source that came back from a copy
 
-    /// Whether a word tells of a target that went before the source came back from a copy in which the word stands.
-    pub(super) fn is_of_gone(&self, word: &TargetEntry) -> bool {
-        let past = self.past.get(&word.id);
-        past.is_some_and(|past| word.run <= past.word.0)
+    /// Whether a report is of a target that went before the source came back from a copy in which the report stands.
+    pub(super) fn is_of_gone(&self, report: &TargetEntry) -> bool {
+        let past = self.past.get(&report.id);
+        past.is_some_and(|past| report.run <= past.report.0)
     }
 
-    /// Whether what is known of a target holds against a word of it: the word stands in a copy from which the source came back, and the target wrote what is
+    /// Whether what is known of a target holds against a report of it: the report stands in a copy from which the source came back, and the target wrote what is
     /// known later. That is so also when the copy is read again, until something newer is written.
-    pub(super) fn keeps(&mut self, known: &TargetEntry, word: &TargetEntry, words: Words) -> bool {
-        let may_be_old = words == Words::Copied || known.doubted || self.kept.contains(&word.id);
+    pub(super) fn keeps(&mut self, known: &TargetEntry, report: &TargetEntry, fresh: Freshness) -> bool {
+        let may_be_old = fresh == Freshness::Copied || known.doubted || self.kept.contains(&report.id);
         if !may_be_old {
             return false;
         }
-        if known == word || word.unreadable || !word.is_no_newer(known) {
-            self.kept.remove(&word.id);
+        if known == report || report.unreadable || !report.is_no_newer(known) {
+            self.kept.remove(&report.id);
             return false;
         }
-        self.kept.insert(word.id.clone());
+        self.kept.insert(report.id.clone());
         true
     }
 
--- a/crates/barleyspool_core/src/forward/target_rest.rs
+++ b/crates/barleyspool_core/src/forward/target_rest.rs
@@ -5,8 +5,8 @@
 use super::{Forwarder, Need, TargetKey};
 use crate::{Span, Time};
 
-/// The longest rest that is kept to: a target that names more is asked again after it.
-const LONGEST_REST: Span = Span::from_secs(600);
+/// The longest rest that is kept to: a target that names more is tried again after it.
+pub const LONGEST_REST: Span = Span::from_secs(600);
 
 /// What a refusal says of rest.
 #[derive(Copy, Clone, Debug, Default, PartialEq)]
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -1,7 +1,7 @@
 //! The list of targets that the platform last told, itself or by way of other nodes.
 
 use super::target_log::TargetLog;
-use super::target_memory::{TargetMemory, Words};
+use super::target_memory::{Freshness, TargetMemory};
 use super::{ForwardPlan, ServiceTargets, TargetEntry, TargetRun, TargetTable, service_targets};
 use crate::{Revision, RunMark, Span, Time};
 use serde::{Deserialize, Serialize};
@@ -65,12 +65,12 @@
             return false;
         }
         let first = self.at == Revision(0);
-        let copied = self.enter(now, at);
+        let fresh = self.enter(now, at);
         self.lapsed.retain(|id, _| !table.contains_key(id));
         let before = Arc::clone(&self.table);
-        let words = table.into_values();
-        let mut table: TargetTable = words
-            .filter_map(|entry| self.newest(now, entry, copied))
+        let reports = table.into_values();
+        let mut table: TargetTable = reports
+            .filter_map(|entry| self.newest(now, entry, fresh))
             .map(|entry| (entry.id.clone(), entry))
             .collect();
         for entry in table.values() {
@@ -105,12 +105,12 @@
         if at < self.at {
             return false;
         }
-        let words = self.enter(now, at);
+        let fresh = self.enter(now, at);
         self.log.note(at, changes.clone());
         let mut changed = false;
         for change in changes {
             changed |= match change {
-                TargetChange::Put(entry) => self.put(now, entry, words),
+                TargetChange::Put(entry) => self.put(now, entry, fresh),
                 TargetChange::Gone(id) if self.table.contains_key(&id) && self.keeps(now, &id) => false,
                 TargetChange::Gone(id) => self.remove(now, &id),
             };
@@ -118,19 +118,19 @@
         self.changed(changed)
     }
 
-    /// Goes on to revision `at`. Returns how far what is told there can be relied on.
+    /// Goes on to revision `at`. Returns how far reports of targets there can be relied on.
     ///
     /// When that is a revision of a later era the source has come back from a copy. What was written since the copy is missing there until it is written again.
-    fn enter(&mut self, now: Time, at: Revision) -> Words {
+    fn enter(&mut self, now: Time, at: Revision) -> Freshness {
         let before = std::mem::replace(&mut self.at, at);
         if before == Revision(0) {
-            return Words::First;
+            return Freshness::First;
         }
         if at.era() == before.era() {
-            return Words::Newer;
+            return Freshness::Newer;
         }
         self.source_back(now);
-        Words::Copied
+        Freshness::Copied
     }
 
     /// Takes which zones are evacuated; true when the list is another one afterwards. Targets of a zone that is opened
@@ -155,7 +155,7 @@
         self.changed(!ids.is_empty())
     }
 
-    /// A run of a target has said in an answer that it leaves; true when that is new to the list. It is no change of what the source tells, so
+    /// A run of a target has said in an answer that it leaves; true when that is new to the list. It is no change at the source, so
     /// other nodes have nothing to ask for.
     pub fn note_leaving(&mut self, now: Time, run: RunMark) -> bool {
         self.memory.note_leaving(now, run, &self.table);
@@ -224,9 +224,9 @@
         !confirmed.is_empty()
     }
 
-    fn put(&mut self, now: Time, entry: TargetEntry, words: Words) -> bool {
+    fn put(&mut self, now: Time, entry: TargetEntry, fresh: Freshness) -> bool {
         self.lapsed.remove(&entry.id);
-        let Some(entry) = self.newest(now, entry, words) else {
+        let Some(entry) = self.newest(now, entry, fresh) else {
             return false;
         };
         self.memory.note_doubt(now, &entry);
@@ -241,58 +241,59 @@
         true
     }
 
-    /// What is to be listed of a target after a word of it: the word with what this node knows besides, or what was known
-    /// when that is newer; `None` when the target is gone and the word an older one.
-    fn newest(&mut self, now: Time, mut word: TargetEntry, words: Words) -> Option<TargetEntry> {
-        let known = self.table.get(&word.id);
+    /// What is to be listed of a target after a report of it: the report with what this node knows besides, or what was known
+    /// when that is newer; `None` when the target is gone and the report an older one.
+    fn newest(&mut self, now: Time, mut report: TargetEntry, fresh: Freshness) -> Option<TargetEntry> {
+        let known = self.table.get(&report.id);
         if let Some(known) = known
-            && self.memory.keeps(known, &word, words)
+            && self.memory.keeps(known, &report, fresh)
         {
             return Some(known.clone());
         }
-        if words == Words::Copied && known.is_none() {
-            word.doubted |= self.memory.is_of_gone(&word);
+        if fresh == Freshness::Copied && known.is_none() {
+            report.doubted |= self.memory.is_of_gone(&report);
         }
-        if let Some(known) = known.filter(|known| word.doubted && !known.doubted && word.run == known.run) {
-            // Another node knew it to be gone, but the source has told this one of it since.
+        if let Some(known) = known.filter(|known| report.doubted && !known.doubted && report.run == known.run)
+        {
+            // Another node knew it to be gone, but the source has listed it here since.
             return Some(known.clone());
         }
         let last = known
             .map(|known| (known.run, known.sequence))
-            .or_else(|| self.memory.last_word(now, &word.id));
+            .or_else(|| self.memory.last_report(now, &report.id));
         // A target that ever told which start of it this is always does.
-        let run_missing = word.run == TargetRun(0) && last.is_some_and(|(run, _)| run != TargetRun(0));
-        if (word.unreadable || run_missing)
+        let run_missing = report.run == TargetRun(0) && last.is_some_and(|(run, _)| run != TargetRun(0));
+        if (report.unreadable || run_missing)
             && let Some(known) = known
         {
             let mut known = known.clone();
             known.unreadable = true;
             return Some(known);
         }
-        if last.is_some_and(|last| word.is_older(last)) {
+        if last.is_some_and(|last| report.is_older(last)) {
             return known.cloned();
         }
-        word.leaving |= self.memory.has_said_leaving(&word);
-        word.evacuated = self.evacuated.contains(&word.zone);
-        word.times = known.map(|known| known.times).unwrap_or_default();
+        report.leaving |= self.memory.has_said_leaving(&report);
+        report.evacuated = self.evacuated.contains(&report.zone);
+        report.times = known.map(|known| known.times).unwrap_or_default();
         match last {
-            Some((run, _)) if run == word.run => {}
+            Some((run, _)) if run == report.run => {}
             Some(_) => {
-                word.times.began = now;
-                word.times.restarted = now;
+                report.times.began = now;
+                report.times.restarted = now;
             }
-            None if words == Words::First => {}
-            None => word.times.began = now,
+            None if fresh == Freshness::First => {}
+            None => report.times.began = now,
         }
         let same_report = known.is_some_and(|known| {
-            (known.run, known.sequence, known.cold) == (word.run, word.sequence, word.cold)
+            (known.run, known.sequence, known.cold) == (report.run, report.sequence, report.cold)
         });
-        if word.cold == Span::ZERO {
-            word.times.warm_at = Time(0);
+        if report.cold == Span::ZERO {
+            report.times.warm_at = Time(0);
         } else if !same_report {
-            word.times.warm_at = now + word.cold;
+            report.times.warm_at = now + report.cold;
         }
-        Some(word)
+        Some(report)
     }
 
     /// Whether an entry that is missing now is kept for a while, because it may have lapsed.
--- a/crates/barleyspool_core/src/membership/leaving_updates.rs
+++ b/crates/barleyspool_core/src/membership/leaving_updates.rs
@@ -1,6 +1,6 @@
-//! Telling other nodes which targets have said in an answer that they leave.
+//! Notifying other nodes of targets that have said in an answer that they leave.
 //!
-//! The node that reads it notifies some others at once, who pass it on. While any is remembered each node also tells one other in
+//! The node that reads it notifies some others at once, who pass it on. While any is remembered each node also updates one other in
 //! each round, so that nodes that start, sleep or are cut off learn what they missed.
 
 use super::table::Membership;
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Tells one other node some of what is known, in turn.
+    /// Updates one other node with some of what is known, in turn.
     pub(super) fn leaving_round(&mut self, now: Time) {
         if self.leaving.runs.is_empty() {
             return;
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Tells a node some of what is known, in turn.
+    /// Updates a node with some of what is known, in turn.
     pub(super) fn share_leaving(&mut self, now: Time, to: &str) {
         let Leaving { runs, turn } = &mut self.leaving;
         let updates = turn.take(IN_MESSAGE, |run| runs.update_of(now, run));
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -242,7 +242,7 @@
             .map(|(address, _)| address.clone())
     }
 
-    /// Nodes that can be told something, chosen at random, so many at the most.
+    /// Nodes that can be notified, chosen at random, so many at the most.
     pub(super) fn some_reachable(&mut self, most: usize) -> Vec<String> {
         let reachable: Vec<String> = self.reachable().collect();
         reachable.into_iter().choose_multiple(&mut self.random, most)
--- a/crates/barleyspool_core/src/membership/turn.rs
+++ b/crates/barleyspool_core/src/membership/turn.rs
@@ -23,7 +23,7 @@
         self.order.push_front(key);
     }
 
-    /// What is to be passed on next, `most` updates at the most. Things of which `update` has nothing to tell any more are dropped.
+    /// What is to be passed on next, `most` updates at the most. Things of which `update` knows nothing any more are dropped.
     pub(super) fn take<U>(&mut self, most: usize, update: impl Fn(K) -> Option<U>) -> Vec<U> {
         let mut updates = Vec::new();
         for _ in 0..self.order.len() {
--- a/crates/barleyspool_core/src/router/answer.rs
+++ b/crates/barleyspool_core/src/router/answer.rs
@@ -2,14 +2,12 @@
 
 use super::Router;
 use crate::{
-    AttemptEnd, AttemptId, Counter, Echo, Fate, Guard, LoadReport, Payload, Peer, Reason, RequestEvent,
-    RequestId, RetryReason, ServiceIx, Span, TargetEvent, TargetId, TargetPhase, TargetRest, Time,
-    TrafficAction,
+    AttemptEnd, AttemptId, Counter, Echo, Fate, Guard, LONGEST_REST, LoadReport, Payload, Peer, Reason,
+    RequestEvent, RequestId, RetryReason, ServiceIx, Span, TargetEvent, TargetId, TargetPhase, TargetRest,
+    Time, TrafficAction,
 };
 use std::sync::Arc;
 
-/// The longest rest that is kept to: a target that names more is probed after it.
-const LONGEST_REST: Span = Span::from_secs(600);
 /// Sends of one step without a retry budget.
 const PLAIN_SENDS: u16 = 3;
 
@@ -242,7 +240,7 @@
         };
         target.rest(rest.until, &self.target_chart);
         self.count(Counter::AskedRest);
-        self.actions.push(TrafficAction::TellRest(rest));
+        self.actions.push(TrafficAction::NotifyRest(rest));
     }
 
     /// How long every target of a service that is not leaving wants nothing from this node; zero when one does not.
--- a/crates/barleyspool_core/src/traffic.rs
+++ b/crates/barleyspool_core/src/traffic.rs
@@ -157,8 +157,8 @@
         /// Its IP number and port.
         address: String,
     },
-    /// Tell the other lanes that a target wants nothing from this node for a while.
-    TellRest(TargetRest),
+    /// Notify the other lanes that a target wants nothing from this node for a while.
+    NotifyRest(TargetRest),
     /// Tell the control thread that a target is leaving.
     TellLeaving {
         /// The target.
--- a/crates/barleyspool_entry/src/control_thread.rs
+++ b/crates/barleyspool_entry/src/control_thread.rs
@@ -105,7 +105,7 @@
             tokio::select! {
                 Some(message) = inbox.recv() => self.take(message),
                 Some(notice) = notices.recv() => self.step(match notice {
-                    LaneNotice::Rest(rest) => ControlEvent::ToldRest(rest),
+                    LaneNotice::Rest(rest) => ControlEvent::AskedRest(rest),
                     LaneNotice::Leaving(target) => ControlEvent::ToldLeaving(target),
                     LaneNotice::Behind => ControlEvent::Behind,
                 }),
--- a/crates/barleyspool_entry/src/lane.rs
+++ b/crates/barleyspool_entry/src/lane.rs
@@ -196,7 +196,7 @@
                     let events = self.events.clone();
                     tokio::spawn(async move { TargetPool::probe(target, &address, &events).await });
                 }
-                TrafficAction::TellRest(rest) => self.notify(LaneNotice::Rest(rest)),
+                TrafficAction::NotifyRest(rest) => self.notify(LaneNotice::Rest(rest)),
                 TrafficAction::TellLeaving { target, incarnation } => {
                     self.notify(LaneNotice::Leaving(LeavingTarget { target, incarnation }));
                 }
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -146,7 +146,7 @@
     state.shared.count_source_call();
     let changes = timed(limit, source.watch(feed, since, wait)).await?;
     if changes.at.era() != since.era() {
-        // What it tells follows another revision of that number.
+        // Its changes follow another revision of that number.
         return Err(SourceError::WentBack);
     }
     state.take_changes(feed, changes.at, changes.changes);
--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -173,7 +173,7 @@
         }
     }
 
-    /// Takes entries as gone that lapsed while the source was away and did not come back, and relies again on what is still told after the source came back
+    /// Takes entries as gone that lapsed while the source was away and did not come back, and relies again on what is still listed after the source came back
     /// from a copy.
     pub fn expire_targets(&self) {
         if self.evacuations.borrow_mut().expire(self.now()) {
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -92,7 +92,7 @@
     },
     /// The source has come back from an older copy of itself, so that its revisions go back.
     SourceWentBack {
-        /// Its era: how often it has, as it tells.
+        /// Its era: how often it has, by its own count.
         era: u16,
         /// The revision in the era at which the list of targets stands now.
         at: u64,
--- a/crates/barleyspool_gateway/src/traffic/target_reports.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_reports.rs
@@ -94,15 +94,15 @@
     traffic.log.write(now, &line);
 }
 
-fn note_limit(traffic: &Traffic, asked: Asked, word: LimitReport) {
-    if word == LimitReport::Unreadable {
+fn note_limit(traffic: &Traffic, asked: Asked, report: LimitReport) {
+    if report == LimitReport::Unreadable {
         return traffic.count(Counter::LimitUnreadable);
     }
     let now = traffic.now();
     let reported = traffic
         .forwarder
         .borrow_mut()
-        .take_limit_report(now, asked.sent, asked.target, word);
+        .take_limit_report(now, asked.sent, asked.target, report);
     let Some(reported) = reported else { return };
     let (run, per_s) = (reported.run, reported.per_s);
     traffic.reports.send(Sighting::Limit { run, per_s });
--- a/crates/barleyspool_stands/src/replay/run.rs
+++ b/crates/barleyspool_stands/src/replay/run.rs
@@ -277,7 +277,7 @@
                 TrafficAction::Probe { target, .. } => self.probe(now, target),
                 TrafficAction::Part { .. }
                 | TrafficAction::TellLeaving { .. }
-                | TrafficAction::TellRest(_)
+                | TrafficAction::NotifyRest(_)
                 | TrafficAction::TellBehind => {}
             }
         }
