--- a/crates/barleyspool_core/tests/target_lives.rs
+++ b/crates/barleyspool_core/tests/target_lives.rs
@@ -570,3 +570,17 @@
     let services = service_targets(&store.table);
     assert_eq!(services["s"].working, 0);
 }
+
+/// Guards against a zone that a node opens since another one, whose list it takes in the later era, never knew that it was evacuated.
+#[test]
+fn an_evacuation_that_another_node_does_not_know_holds_too() {
+    let mut knows = Evacuations::default();
+    knows.replace(at(0), Revision(50), zones(&["a"]));
+    let mut other = Evacuations::default();
+    other.replace(at(0), Revision(40), zones(&[]));
+    other.replace(at(1000), in_later_era(20), zones(&["b"]));
+    assert!(knows.take(at(1000), other));
+    assert_eq!(knows.zones, zones(&["a", "b"]));
+    assert!(knows.expire(at(11_000)));
+    assert_eq!(knows.zones, zones(&["b"]));
+}
