A plain target without a measurement counts as one of the fastest

What callers saw: two red tests of real processes. In the second after its rest a near target got no call, by four of five ways, while a target of another zone got all; a target that was listed anew got none for two seconds.

Cause: a target's slowness is the time of its answers over an average of the service that moves by a twentieth with each answer. The first answers make connections and are slow, and rare slow ones keep the average above most single answers: whoever is called has 0.3 to 0.9. One without a measurement counted as 1, so at low load, when no call is in flight, it never got one; a near one lost to a far one as soon as the far one was below a half.

Why it holds: what is not measured is as good as the best that is, so it is called by chance among equals and then measured; in another zone it still has to be better by half an answer.

--- a/crates/barleyspool_core/src/forward/choice.rs
+++ b/crates/barleyspool_core/src/forward/choice.rs
@@ -1,5 +1,6 @@
 //! The choice of a target for a call.
 
+use super::target_record::AS_EXPECTED;
 use super::{Choose, Chosen, Forwarder, NO_ROOM_TTL, Need, TargetKey, TargetRecord, shard_key};
 use crate::{Span, Time, rendezvous};
 use rand::Rng;
@@ -197,13 +198,14 @@
         let zone = self.zone(need).to_owned();
         let failing = |key: &TargetKey| self.targets[*key].failing_now(now);
         let least_failing = usable.iter().map(failing).fold(1.0, f64::min);
+        let fastest = self.least_slowness(now, usable);
         let score = |key: &TargetKey| {
             let record = &self.targets[*key];
             let slots = f64::from(record.entry.slots.max(1));
             let load = f64::from(record.in_flight) * self.members.len().max(1) as f64 / slots;
             let far = if record.entry.zone == zone { 0.0 } else { FAR_SHARE };
             let failing = FAILING_TIMES * (record.failing_now(now) - least_failing);
-            let score = record.slowness_now(now) * (1.0 + load) + far + failing;
+            let score = record.slowness_now(now, fastest) * (1.0 + load) + far + failing;
             // Small differences say nothing; without this an old failure would count for ever.
             (score / SCORE_STEP).floor()
         };
@@ -223,12 +225,18 @@
             let unread = own + prefix * REREAD_WEIGHT;
             let running = RUNNING_TOKENS * f64::from(record.in_flight);
             let failing = FAILING_TOKENS * record.failing_now(now);
-            (record.unread_tokens + unread + running) * record.slowness_now(now) + far + failing
+            (record.unread_tokens + unread + running) * record.slowness_now(now, AS_EXPECTED) + far + failing
         };
         let scores: Vec<f64> = usable.iter().map(score).collect();
         self.least(usable, &scores)
     }
 
+    /// How slow the fastest of `usable` is, at most as slow as is expected.
+    fn least_slowness(&self, now: Time, usable: &[TargetKey]) -> f64 {
+        let slowness = |key: &TargetKey| self.targets[*key].slowness_now(now, AS_EXPECTED);
+        usable.iter().map(slowness).fold(AS_EXPECTED, f64::min)
+    }
+
     /// The tokens of a call's shared prefix that a target would have to read, as far as is known.
     pub(super) fn unread_prefix(
         &self,
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -19,7 +19,9 @@
 const GAIN: f64 = 0.2;
 /// The least and the most that one measurement may say of a target's speed.
 const SLOW_RANGE: (f64, f64) = (0.25, 20.0);
-/// What a target's slowness loses per second without a measurement, so that it is tried again.
+/// The slowness of a target that takes as long as is expected of its service.
+pub(super) const AS_EXPECTED: f64 = 1.0;
+/// What remains of a measured slowness after a second without another measurement, so that a slow target is tried again.
 const SLOW_FADE: f64 = 0.85;
 /// What a target's share of failures loses per second without a measurement.
 const FAILING_FADE: f64 = 0.4;
@@ -72,7 +74,7 @@
             in_flight: 0,
             unread_tokens: 0.0,
             prefixes: PrefixMemory::default(),
-            slowness: 1.0,
+            slowness: AS_EXPECTED,
             failing: 0.0,
             full_until: Time(0),
             rest_until: Time(0),
@@ -105,10 +107,13 @@
         phase_allows && self.entry.takes_work() && now >= self.full_until
     }
 
-    /// How slow it is to be reckoned with now.
-    pub fn slowness_now(&self, now: Time) -> f64 {
+    /// How slow it is to be reckoned with now; without measurements that goes towards `unmeasured`.
+    ///
+    /// Measurements are relative to an average of the service, and often below [`AS_EXPECTED`]: a plain target that nobody has measured counts as one of the
+    /// fastest, or it would get no call beside them.
+    pub fn slowness_now(&self, now: Time, unmeasured: f64) -> f64 {
         let idle = now.since(self.measured).as_secs().min(60.0);
-        1.0 + (self.slowness - 1.0) * SLOW_FADE.powf(idle)
+        unmeasured + (self.slowness - unmeasured) * SLOW_FADE.powf(idle)
     }
 
     /// How often it is to be reckoned to fail now; like slowness, a record fades, so that it is tried again.
