Names of the field: report, notify, answer in place of told and heard

Identifiers only, and the comments beside them; behaviour is the same. The counter barleyspool_told_leaving_total is now barleyspool_reported_leaving_total: operators' queries change.

--- a/crates/barleyspool_core/src/control/gossip.rs
+++ b/crates/barleyspool_core/src/control/gossip.rs
@@ -20,12 +20,12 @@
             fleet: self.fleet.revision,
             read_age: now.since(self.read_at).as_millis().min(u64::from(u32::MAX)) as u32,
             stopping: self.phase == NodePhase::Stopping,
-            leaving: self.told_of_leaving(),
+            leaving: self.known_leaving(),
             bulk: self.settings.bulk.clone(),
         }
     }
 
-    pub(super) fn told_of_leaving(&self) -> Vec<LeavingTarget> {
+    pub(super) fn known_leaving(&self) -> Vec<LeavingTarget> {
         if !self.settings.guards.hold(Guard::LeavingSpread) {
             return Vec::new();
         }
@@ -33,8 +33,8 @@
     }
 
     /// Takes what a peer says of itself, whether it asked or replied.
-    pub(super) fn hear(&mut self, now: Time, gossip: &Gossip) {
-        self.peers.heard(now, gossip);
+    pub(super) fn take_gossip(&mut self, now: Time, gossip: &Gossip) {
+        self.peers.take_gossip(now, gossip);
         let read_at = now - Span::from_millis(gossip.read_age.into());
         self.read_at = self.read_at.max(read_at);
         for target in &gossip.leaving {
@@ -44,14 +44,14 @@
                 .iter()
                 .find(|listed| listed.id == target.target);
             if listed.is_none_or(|listed| listed.incarnation <= target.incarnation) {
-                self.told_leaving(now, *target);
+                self.reported_leaving(now, *target);
             }
         }
     }
 
     pub(super) fn replied(&mut self, now: Time, asked: Time, reply: &PeerReply) {
         self.counters.replied += 1;
-        self.hear(now, &reply.gossip);
+        self.take_gossip(now, &reply.gossip);
         if reply.gossip.rules == self.settings.rules {
             self.lease.heard(now, reply.gossip.from, asked, reply.word);
         } else {
--- a/crates/barleyspool_core/src/control/message.rs
+++ b/crates/barleyspool_core/src/control/message.rs
@@ -36,7 +36,7 @@
         snapshot: Box<Snapshot>,
     },
     /// A target said that it is leaving.
-    ToldLeaving(LeavingTarget),
+    ReportedLeaving(LeavingTarget),
     /// A target wants nothing from this node for a while.
     AskedRest(TargetRest),
     /// A caller has seen a newer configuration.
--- a/crates/barleyspool_core/src/control/mod.rs
+++ b/crates/barleyspool_core/src/control/mod.rs
@@ -131,7 +131,7 @@
             ControlEvent::ConfigFailed | ControlEvent::FleetFailed => self.counters.failed_reads += 1,
             ControlEvent::Replied { asked, reply } => self.replied(now, asked, &reply),
             ControlEvent::Fetched { snapshot } => self.fetched(now, *snapshot),
-            ControlEvent::ToldLeaving(target) => self.told_leaving(now, target),
+            ControlEvent::ReportedLeaving(target) => self.reported_leaving(now, target),
             ControlEvent::AskedRest(rest) => self.asked_rest(now, rest),
             ControlEvent::Behind => self.behind(now),
             ControlEvent::Stop => self.stop(now),
@@ -146,7 +146,7 @@
 
     /// Answers a peer's question.
     pub fn answer(&mut self, now: Time, gossip: &Gossip) -> PeerReply {
-        self.hear(now, gossip);
+        self.take_gossip(now, gossip);
         let word = if gossip.rules == self.settings.rules {
             self.lease.word(gossip.from, gossip.run)
         } else {
--- a/crates/barleyspool_core/src/control/peers.rs
+++ b/crates/barleyspool_core/src/control/peers.rs
@@ -42,10 +42,10 @@
 pub struct PeerEntry {
     /// As the list has it.
     pub listed: EntryNode,
-    /// How it is heard.
+    /// Whether it reports.
     pub phase: PeerPhase,
-    /// When it was last heard.
-    pub heard: Time,
+    /// When it last reported.
+    pub last_report: Time,
     /// What it last said.
     pub gossip: Gossip,
     run: Incarnation,
@@ -78,7 +78,7 @@
             let peer = self.peers.entry(listed.id).or_insert_with(|| PeerEntry {
                 listed: listed.clone(),
                 phase,
-                heard: Time(0),
+                last_report: Time(0),
                 gossip: Gossip::default(),
                 run: Incarnation(0),
             });
@@ -87,7 +87,7 @@
     }
 
     /// Takes what a peer said of itself.
-    pub fn heard(&mut self, now: Time, gossip: &Gossip) {
+    pub fn take_gossip(&mut self, now: Time, gossip: &Gossip) {
         let Some(peer) = self.peers.get_mut(&gossip.from) else {
             return;
         };
@@ -104,14 +104,14 @@
             PeerEvent::Replied
         };
         self.chart.step(&mut peer.phase, event);
-        peer.heard = now;
+        peer.last_report = now;
         peer.gossip.clone_from(gossip);
     }
 
     /// Notices who has not been heard for several beats.
     pub fn silence(&mut self, now: Time, beat: Span) {
         for peer in self.peers.values_mut() {
-            if now.since(peer.heard).0 > beat.0 * SILENT_BEATS {
+            if now.since(peer.last_report).0 > beat.0 * SILENT_BEATS {
                 self.chart.step(&mut peer.phase, PeerEvent::Silence);
             }
         }
--- a/crates/barleyspool_core/src/control/planning.rs
+++ b/crates/barleyspool_core/src/control/planning.rs
@@ -62,13 +62,13 @@
                 self.peers.leaving(entry.id)
             };
             let state = if stopping { ListState::Leaving } else { entry.state };
-            let heard = me || !self.peers.silent(entry.id);
+            let reachable = me || !self.peers.silent(entry.id);
             PlanPeer {
                 id: entry.id,
                 address: entry.address.clone(),
                 zone: entry.zone.clone(),
                 state,
-                heard,
+                reachable,
             }
         };
         near.map(peer).collect()
--- a/crates/barleyspool_core/src/control/updates.rs
+++ b/crates/barleyspool_core/src/control/updates.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    pub(super) fn told_leaving(&mut self, now: Time, target: LeavingTarget) {
+    pub(super) fn reported_leaving(&mut self, now: Time, target: LeavingTarget) {
         if self.leaving.insert(target) {
             self.rebuild_targets();
             self.publish(now);
@@ -77,11 +77,11 @@
         let Some(config) = self.store.config() else { return };
         let me = self.as_listed();
         let leaving = |target: &crate::TargetNode| {
-            let told = LeavingTarget {
+            let run = LeavingTarget {
                 target: target.id,
                 incarnation: target.incarnation,
             };
-            target.state == ListState::Leaving || self.leaving.contains(&told)
+            target.state == ListState::Leaving || self.leaving.contains(&run)
         };
         let rest_until = |target: &crate::TargetNode| {
             let run = (target.id, target.incarnation);
--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -42,7 +42,7 @@
     /// Quarantines that were not made because too many targets were in it.
     QuarantineCapped,
     /// Targets that said they were leaving.
-    ToldLeaving,
+    ReportedLeaving,
     /// Sends under which a target ended.
     TargetEnded,
     /// Refusals in which a target asked for rest.
@@ -78,7 +78,7 @@
             Self::Cancelled => "cancelled",
             Self::Quarantined => "quarantined",
             Self::QuarantineCapped => "quarantine_capped",
-            Self::ToldLeaving => "told_leaving",
+            Self::ReportedLeaving => "reported_leaving",
             Self::TargetEnded => "target_ended",
             Self::AskedRest => "asked_rest",
             Self::RestUnreadable => "rest_unreadable",
--- a/crates/barleyspool_core/src/forward/bounded_targets.rs
+++ b/crates/barleyspool_core/src/forward/bounded_targets.rs
@@ -59,21 +59,21 @@
     // What targets say
 
     /// Takes what the answer of a target to a call said that was sent at `sent`. Returns the limit that stands now when
-    /// others are to be told.
+    /// others are to be notified.
     pub fn take_limit_report(
         &mut self,
         now: Time,
         sent: Time,
         id: &str,
-        word: LimitReport,
+        report: LimitReport,
     ) -> Option<ReportedLimit> {
-        if word == LimitReport::None && self.limits.is_empty() {
+        if report == LimitReport::None && self.limits.is_empty() {
             // As nearly always: each answer comes by here.
             return None;
         }
         let run = self.targets.get(*self.by_id.get(id)?)?.mark;
         let before = self.limits.named(run);
-        let is_new = self.limits.heard(now, sent, run, word);
+        let is_new = self.limits.take_answer(now, sent, run, report);
         let per_s = self.limits.named(run);
         is_new.then_some(ReportedLimit {
             run,
--- a/crates/barleyspool_core/src/forward/choice.rs
+++ b/crates/barleyspool_core/src/forward/choice.rs
@@ -122,12 +122,12 @@
                 // Whoever gives out its rate is asked, unless that would be in vain.
                 None => {
                     let record = &self.targets[*key];
-                    let told = record.no_room_until.since(now);
+                    let wait = record.no_room_until.since(now);
                     let old = now.since(record.no_room_at) >= NO_ROOM_TTL;
-                    if old || told <= need.max_wait {
+                    if old || wait <= need.max_wait {
                         Span::ZERO
                     } else {
-                        told
+                        wait
                     }
                 }
             };
--- a/crates/barleyspool_core/src/forward/packed_list.rs
+++ b/crates/barleyspool_core/src/forward/packed_list.rs
@@ -61,8 +61,8 @@
 impl PackedList {
     /// Packs a list.
     pub fn pack(table: &TargetTable) -> Self {
-        let told = table.values().map(|entry| entry.run.0).filter(|run| *run != 0);
-        let run_base = told.min().unwrap_or_default();
+        let runs = table.values().map(|entry| entry.run.0).filter(|run| *run != 0);
+        let run_base = runs.min().unwrap_or_default();
         let mut services = Names::default();
         let mut zones = Names::default();
         let pack = |entry: &TargetEntry| PackedTarget {
--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -38,8 +38,8 @@
 
 impl Held {
     /// Whether a node that told `told` has something newer.
-    pub fn is_behind(&self, told: SourceState) -> bool {
-        told.version > self.version || told.list > self.list || told.evacuations > self.evacuations
+    pub fn is_behind(&self, state: SourceState) -> bool {
+        state.version > self.version || state.list > self.list || state.evacuations > self.evacuations
     }
 }
 
@@ -129,27 +129,27 @@
         true
     }
 
-    /// This node told others how far it is.
+    /// This node has notified others how far it is.
     pub fn announced(&mut self, now: Time) {
         self.announce_at = now + ANNOUNCE_EVERY;
     }
 
-    /// Another node told how far it is.
-    pub fn told(&mut self, now: Time, told: SourceState, held: Held) {
-        if !held.is_behind(told) {
+    /// Another node reported how far it is.
+    pub fn reported(&mut self, now: Time, state: SourceState, held: Held) {
+        if !held.is_behind(state) {
             return;
         }
-        let (since, before) = self.ahead.unwrap_or((now, told));
-        self.ahead = Some((since, before.newest(told)));
+        let (since, before) = self.ahead.unwrap_or((now, state));
+        self.ahead = Some((since, before.newest(state)));
     }
 
     /// Whether this node should ask another one for what is newer there. One that watches the source itself gives its
     /// own watch a moment.
     pub fn asks(&mut self, now: Time, held: Held, failing: bool) -> bool {
-        let Some((since, told)) = self.ahead else {
+        let Some((since, state)) = self.ahead else {
             return false;
         };
-        if !held.is_behind(told) {
+        if !held.is_behind(state) {
             self.ahead = None;
             return false;
         }
--- a/crates/barleyspool_core/src/forward/target_entry.rs
+++ b/crates/barleyspool_core/src/forward/target_entry.rs
@@ -113,8 +113,8 @@
     /// Whether this is an older word of the target than `known`: of an earlier run, or one that the same run wrote before.
     /// Words arrive late, and by way of other nodes.
     pub fn is_older(&self, known: (TargetRun, u64)) -> bool {
-        let told = self.run != TargetRun(0) && known.0 != TargetRun(0);
-        told && (self.run, self.sequence) < known
+        let numbered = self.run != TargetRun(0) && known.0 != TargetRun(0);
+        numbered && (self.run, self.sequence) < known
     }
 }
 
--- a/crates/barleyspool_core/src/membership/catch_up.rs
+++ b/crates/barleyspool_core/src/membership/catch_up.rs
@@ -118,8 +118,8 @@
     /// Tells another node some of what it does not know, or that there is nothing.
     pub(super) fn share(&mut self, now: Time, to: &str, known: &[u32]) {
         // Before any other work: when a fleet starts, a seed gets thousands of questions a second.
-        let told = self.parts_lately(now);
-        if told >= PARTS_MOST {
+        let sent = self.parts_lately(now);
+        if sent >= PARTS_MOST {
             return;
         }
         let known: HashSet<u32> = known.iter().copied().collect();
@@ -136,7 +136,7 @@
         let nothing = [Vec::new()];
         let parts: Vec<Vec<MemberUpdate>> = missing.chunks(most_updates).map(<[_]>::to_vec).collect();
         let parts = if parts.is_empty() { &nothing[..] } else { &parts };
-        let busy = told >= PARTS_AT_ONCE;
+        let busy = sent >= PARTS_AT_ONCE;
         let (most, names) = if busy {
             (1, FEW)
         } else {
@@ -178,9 +178,9 @@
 
     /// Notes an answer, after its updates were taken. Only a node that knows as many others as this one can say that
     /// there are no more.
-    pub(super) fn shared(&mut self, teller: &str, members: u32) {
+    pub(super) fn shared(&mut self, from: &str, members: u32) {
         self.catch_up.answered = true;
-        if self.catch_up.partner.as_deref() != Some(teller) {
+        if self.catch_up.partner.as_deref() != Some(from) {
             return;
         }
         self.catch_up.partner = None;
--- a/crates/barleyspool_core/src/membership/crash_updates.rs
+++ b/crates/barleyspool_core/src/membership/crash_updates.rs
@@ -52,8 +52,8 @@
             let first_end = update.ends.len() == 1;
             if self.crashes.table.take(now, update) == Learnt::Confirmed {
                 // Whoever puts two words together is the first to know.
-                let told = if first_end { NOTIFIED_FIRST } else { NOTIFIED_NEXT };
-                self.spread(now, update.print, told);
+                let count = if first_end { NOTIFIED_FIRST } else { NOTIFIED_NEXT };
+                self.spread(now, update.print, count);
             }
         }
     }
@@ -69,11 +69,11 @@
         turn.take(IN_MESSAGE + room, |print| confirmed(print).flatten())
     }
 
-    fn spread(&mut self, now: Time, print: CallPrint, told: usize) {
+    fn spread(&mut self, now: Time, print: CallPrint, count: usize) {
         self.crashes.turn.put_first(print);
         self.actions.push(MemberAction::CallsRefused);
-        let told = self.some_reachable(told);
-        self.notify_crash(now, print, told);
+        let to = self.some_reachable(count);
+        self.notify_crash(now, print, to);
     }
 
     fn notify_keepers(&mut self, now: Time, print: CallPrint) {
@@ -99,11 +99,11 @@
         keepers.map(|(_, member)| member.facts.address.clone()).collect()
     }
 
-    fn notify_crash(&mut self, now: Time, print: CallPrint, told: Vec<String>) {
+    fn notify_crash(&mut self, now: Time, print: CallPrint, nodes: Vec<String>) {
         let Some(update) = self.crashes.table.update_of(now, print) else {
             return;
         };
-        for to in told {
+        for to in nodes {
             self.notify(to, MemberQuestion::Update, vec![update.clone()]);
         }
     }
--- a/crates/barleyspool_core/src/membership/event.rs
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -57,7 +57,7 @@
         message: MemberMessage,
     },
     /// Another node reads the source and told how far, or has something that this one has not.
-    Told {
+    SourceReported {
         /// What it told.
         source: SourceState,
         /// Whether it reads the source.
--- a/crates/barleyspool_core/src/membership/limit_updates.rs
+++ b/crates/barleyspool_core/src/membership/limit_updates.rs
@@ -32,9 +32,9 @@
 
     /// This node has read in an answer what a target takes; `None` when it limits nothing any more.
     pub(super) fn limit_received(&mut self, now: Time, run: RunMark, per_s: Option<f64>) {
-        let word = per_s.map_or(LimitReport::None, LimitReport::PerSecond);
+        let report = per_s.map_or(LimitReport::None, LimitReport::PerSecond);
         let before = self.limits.table.named(run);
-        let is_new = self.limits.table.heard(now, now, run, word);
+        let is_new = self.limits.table.take_answer(now, now, run, report);
         if before != self.limits.table.named(run) {
             self.actions.push(MemberAction::LimitsChanged);
         }
@@ -68,17 +68,17 @@
     /// before it takes itself for an owner.
     pub(super) fn share_limits(&mut self, now: Time, to: &str) {
         let Limits { table, turn } = &mut self.limits;
-        let told = turn.take(IN_MESSAGE, |run| table.update_of(now, run));
-        if !told.is_empty() {
-            self.send_limits(vec![to.to_owned()], &told);
+        let updates = turn.take(IN_MESSAGE, |run| table.update_of(now, run));
+        if !updates.is_empty() {
+            self.send_limits(vec![to.to_owned()], &updates);
         }
     }
 
-    fn spread_limit(&mut self, now: Time, run: RunMark, told: usize) {
+    fn spread_limit(&mut self, now: Time, run: RunMark, count: usize) {
         self.limits.turn.put_first(run);
-        let told = self.some_reachable(told);
+        let to = self.some_reachable(count);
         let update = self.limits.table.update_of(now, run);
-        self.send_limits(told, update.as_slice());
+        self.send_limits(to, update.as_slice());
     }
 
     fn send_limits(&mut self, to: Vec<String>, updates: &[LimitUpdate]) {
--- a/crates/barleyspool_core/src/membership/reach.rs
+++ b/crates/barleyspool_core/src/membership/reach.rs
@@ -15,18 +15,18 @@
 impl Membership {
     /// How many of the nodes that were there lately this one hears, itself included. Nodes that went in order are not missed.
     pub fn reach(&self, now: Time) -> Reach {
-        let heard = 1 + self.members.values().filter(|member| is_reached(member)).count();
+        let reached = 1 + self.members.values().filter(|member| is_reached(member)).count();
         let missed = |since: Span| {
             let missed = |member: &&Member| {
                 member.health == MemberHealth::Dead && !member.left && now.since(member.since) < since
             };
             self.members.values().filter(missed).count()
         };
-        let few = heard <= missed(MISSED_BY_FEW);
-        let known = heard + missed(if few { MISSED_BY_FEW } else { MISSED });
+        let few = reached <= missed(MISSED_BY_FEW);
+        let known = reached + missed(if few { MISSED_BY_FEW } else { MISSED });
         let steady = self.age(now) >= STEADY && self.settled(now);
         Reach {
-            heard: heard as u32,
+            reached: reached as u32,
             known: known as u32,
             steady,
         }
--- a/crates/barleyspool_core/src/membership/receive.rs
+++ b/crates/barleyspool_core/src/membership/receive.rs
@@ -51,7 +51,7 @@
     fn source_reported(&mut self, source: SourceState, reads: bool) {
         let newer = source.version > self.source.version || source.list > self.source.list;
         if newer || reads {
-            self.actions.push(MemberAction::Told { source, reads });
+            self.actions.push(MemberAction::SourceReported { source, reads });
         }
     }
 
--- a/crates/barleyspool_core/src/membership/update_queue.rs
+++ b/crates/barleyspool_core/src/membership/update_queue.rs
@@ -53,13 +53,13 @@
 struct Line {
     order: VecDeque<String>,
     /// How often the update of a node was passed on.
-    told: HashMap<String, u32>,
+    passed: HashMap<String, u32>,
 }
 
 impl Line {
     /// A node that is not in the line goes first, once; one that waits already keeps its place.
     fn add(&mut self, address: &str) {
-        if self.told.insert(address.to_owned(), 0).is_none() {
+        if self.passed.insert(address.to_owned(), 0).is_none() {
             self.order.push_front(address.to_owned());
         }
     }
@@ -68,12 +68,12 @@
         let count = most.min(self.order.len());
         let taken: Vec<String> = self.order.drain(..count).collect();
         for address in &taken {
-            let told = self.told.entry(address.clone()).or_default();
-            *told += 1;
-            if *told < often {
+            let passed = self.passed.entry(address.clone()).or_default();
+            *passed += 1;
+            if *passed < often {
                 self.order.push_back(address.clone());
             } else {
-                self.told.remove(address);
+                self.passed.remove(address);
             }
         }
         taken
--- a/crates/barleyspool_core/src/plan.rs
+++ b/crates/barleyspool_core/src/plan.rs
@@ -66,8 +66,8 @@
     pub zone: String,
     /// Whether it said or the list says that it is leaving.
     pub state: ListState,
-    /// Whether it was heard lately, or is not expected to be.
-    pub heard: bool,
+    /// Whether it answered lately, or is not expected to.
+    pub reachable: bool,
 }
 
 /// Everything that a traffic thread acts on.
@@ -125,7 +125,7 @@
             .collect();
         peers.sort_by_cached_key(|peer| {
             let last = rendezvous::place(spread, u64::from(peer.id.0));
-            (Some(peer.id) != home, !peer.heard, peer.zone != zone, last)
+            (Some(peer.id) != home, !peer.reachable, peer.zone != zone, last)
         });
         peers.truncate(MAX_ADDRESSES);
         peers
--- a/crates/barleyspool_core/src/rate_limits/reach.rs
+++ b/crates/barleyspool_core/src/rate_limits/reach.rs
@@ -4,28 +4,28 @@
 /// nothing of each other, stay within the whole.
 const UNSURE: f64 = 0.5;
 
-/// How many nodes a node hears, of those that were there lately.
+/// How many nodes a node reaches, of those that were there lately.
 ///
 /// Two sides of a cut each take their own part, so that together they stay within the whole whatever the cut is. By default
 /// nothing is known.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reach {
-    /// Nodes that are heard, this one included.
-    pub heard: u32,
+    /// Nodes that are reached, this one included.
+    pub reached: u32,
     /// Those, and the ones that have fallen silent without a planned stop.
     pub known: u32,
-    /// Whether this node has run for long enough to have heard of all.
+    /// Whether this node has run for long enough to know of all.
     pub steady: bool,
 }
 
 impl Reach {
-    /// The part of each rate that the nodes which are heard may use.
+    /// The part of each rate that the nodes that are reached may use.
     pub fn part(&self) -> f64 {
-        let heard = if self.known == 0 {
+        let share = if self.known == 0 {
             UNSURE
         } else {
-            f64::from(self.heard) / f64::from(self.known)
+            f64::from(self.reached) / f64::from(self.known)
         };
-        if self.steady { heard } else { heard.min(UNSURE) }
+        if self.steady { share } else { share.min(UNSURE) }
     }
 }
--- a/crates/barleyspool_core/src/request.rs
+++ b/crates/barleyspool_core/src/request.rs
@@ -91,7 +91,7 @@
     /// When it was sent.
     pub started: Time,
     /// When something last came back.
-    pub heard: Time,
+    pub last_answer: Time,
 }
 
 /// A request that has been admitted.
--- a/crates/barleyspool_core/src/router/answer.rs
+++ b/crates/barleyspool_core/src/router/answer.rs
@@ -21,7 +21,7 @@
             self.count(Counter::Misdirected);
             return self.break_off(now, attempt);
         }
-        state.heard = now;
+        state.last_answer = now;
         let Some(&id) = self.attempt_owner.get(&attempt) else {
             return;
         };
@@ -72,7 +72,7 @@
     }
 
     /// What an answer says of its target besides the answer.
-    pub(super) fn hear_target(
+    pub(super) fn take_target_report(
         &mut self,
         now: Time,
         attempt: AttemptId,
@@ -82,10 +82,10 @@
         let Some(target) = self.attempts.get(attempt).map(|attempt| attempt.target) else {
             return;
         };
-        self.hear_report(now, target, report, leaving);
+        self.take_report(now, target, report, leaving);
     }
 
-    fn hear_report(&mut self, now: Time, id: TargetId, report: Option<LoadReport>, leaving: bool) {
+    fn take_report(&mut self, now: Time, id: TargetId, report: Option<LoadReport>, leaving: bool) {
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
@@ -96,11 +96,11 @@
         if leaving
             && self
                 .target_chart
-                .step(&mut target.phase, TargetEvent::ToldLeaving)
+                .step(&mut target.phase, TargetEvent::ReportedLeaving)
         {
             let incarnation = target.plan.incarnation;
-            self.count(Counter::ToldLeaving);
-            self.actions.push(TrafficAction::TellLeaving {
+            self.count(Counter::ReportedLeaving);
+            self.actions.push(TrafficAction::NotifyLeaving {
                 target: id,
                 incarnation,
             });
@@ -115,7 +115,7 @@
         report: Option<LoadReport>,
         leaving: bool,
     ) {
-        self.hear_report(now, id, report, leaving);
+        self.take_report(now, id, report, leaving);
         let Some(target) = self.targets.get_mut(&id) else {
             return;
         };
@@ -218,7 +218,7 @@
                 target.succeeded(&self.target_chart);
             }
             AttemptEnd::Refused { leaving: true, .. } => {
-                self.hear_report(now, id, None, true);
+                self.take_report(now, id, None, true);
             }
             AttemptEnd::Refused { rest, .. } => {
                 target.limit.shrink(now);
--- a/crates/barleyspool_core/src/router/arrive.rs
+++ b/crates/barleyspool_core/src/router/arrive.rs
@@ -105,7 +105,7 @@
             return Err(Turned::after(Reason::NoConfiguration, CATCH_UP_WAIT));
         }
         if call.seen > config.revision && self.holds(Guard::SeenRevision) {
-            self.actions.push(TrafficAction::TellBehind);
+            self.actions.push(TrafficAction::NotifyBehind);
             return Err(Turned::after(Reason::ConfigurationBehind, CATCH_UP_WAIT));
         }
         let org = config
--- a/crates/barleyspool_core/src/router/dispatch.rs
+++ b/crates/barleyspool_core/src/router/dispatch.rs
@@ -229,7 +229,7 @@
             echo,
             target: to,
             started: now,
-            heard: now,
+            last_answer: now,
         });
         self.attempt_owner.insert(attempt, id);
         request.attempt = Some(attempt);
--- a/crates/barleyspool_core/src/router/end.rs
+++ b/crates/barleyspool_core/src/router/end.rs
@@ -151,21 +151,21 @@
             };
             return self.give_up(now, id, reason, None);
         };
-        let Some((target, heard)) = self
+        let Some((target, last_answer)) = self
             .attempts
             .get(attempt)
-            .map(|state| (state.target, state.heard))
+            .map(|state| (state.target, state.last_answer))
         else {
             return;
         };
         if now >= deadline {
             // Nothing since the send: the target may hang. Slow is not counted as failed.
-            if heard == self.attempts[attempt].started && self.overdue(now, id, heard) {
+            if last_answer == self.attempts[attempt].started && self.overdue(now, id, last_answer) {
                 self.target_failed(now, target);
             }
             return self.give_up(now, id, Reason::DeadlineMissed, Some(Peer::Target(target)));
         }
-        let max_wait = self.wait_ends(heard, id);
+        let max_wait = self.wait_ends(last_answer, id);
         if now < max_wait {
             return self.set_wake(id, max_wait);
         }
--- a/crates/barleyspool_core/src/router/mod.rs
+++ b/crates/barleyspool_core/src/router/mod.rs
@@ -129,7 +129,7 @@
                 offset,
                 data,
             } => self.part(now, attempt, echo, offset, &data),
-            TrafficEvent::TargetLeaves { attempt } => self.hear_target(now, attempt, None, true),
+            TrafficEvent::TargetLeaves { attempt } => self.take_target_report(now, attempt, None, true),
             TrafficEvent::Ended {
                 attempt,
                 echo,
@@ -137,7 +137,7 @@
                 report,
                 leaving,
             } => {
-                self.hear_target(now, attempt, report, leaving);
+                self.take_target_report(now, attempt, report, leaving);
                 self.ended(now, attempt, echo, end);
             }
             TrafficEvent::Probed {
@@ -219,7 +219,7 @@
         target.rest(listed.rest_until, &self.target_chart);
         if listed.leaving && self.settings.guards.hold(Guard::TargetLeaving) {
             self.target_chart
-                .step(&mut target.phase, TargetEvent::ToldLeaving);
+                .step(&mut target.phase, TargetEvent::ReportedLeaving);
         }
     }
 
--- a/crates/barleyspool_core/src/target_state.rs
+++ b/crates/barleyspool_core/src/target_state.rs
@@ -31,7 +31,7 @@
         /// It did not answer a probe.
         ProbeFailed = "probe_failed",
         /// It, a peer or the list said that it is leaving.
-        ToldLeaving = "told_leaving",
+        ReportedLeaving = "reported_leaving",
         /// The list names a newer run of it.
         Replaced = "replaced",
     }
--- a/crates/barleyspool_core/src/traffic.rs
+++ b/crates/barleyspool_core/src/traffic.rs
@@ -160,12 +160,12 @@
     /// Notify the other lanes that a target wants nothing from this node for a while.
     NotifyRest(TargetRest),
     /// Tell the control thread that a target is leaving.
-    TellLeaving {
+    NotifyLeaving {
         /// The target.
         target: TargetId,
         /// The run of it that said so.
         incarnation: Incarnation,
     },
     /// Tell the control thread that a caller has seen a newer configuration.
-    TellBehind,
+    NotifyBehind,
 }
--- a/crates/barleyspool_core/tests/cold_targets.rs
+++ b/crates/barleyspool_core/tests/cold_targets.rs
@@ -138,7 +138,7 @@
 #[test]
 fn a_node_that_stands_in_gives_out_the_parts_of_those_who_ask_it() {
     let reach = Reach {
-        heard: 10,
+        reached: 10,
         known: 10,
         steady: true,
     };
--- a/crates/barleyspool_core/tests/control.rs
+++ b/crates/barleyspool_core/tests/control.rs
@@ -388,7 +388,7 @@
             target: TargetId(1),
             incarnation: Incarnation(1),
         };
-        b.step(START, ControlEvent::ToldLeaving(told));
+        b.step(START, ControlEvent::ReportedLeaving(told));
         assert!(b.leaving(1));
         ask(START + ms(500), &mut a, &mut b);
         a.leaving(1)
@@ -405,7 +405,7 @@
     let mut node = ready(1, Guards::default());
     node.step(
         START,
-        ControlEvent::ToldLeaving(LeavingTarget {
+        ControlEvent::ReportedLeaving(LeavingTarget {
             target: TargetId(1),
             incarnation: Incarnation(1),
         }),
--- a/crates/barleyspool_core/tests/limited_targets.rs
+++ b/crates/barleyspool_core/tests/limited_targets.rs
@@ -129,7 +129,7 @@
             }
             for members in [others.clone(), all.clone()] {
                 let reach = Reach {
-                    heard: members.len() as u32,
+                    reached: members.len() as u32,
                     known: members.len() as u32,
                     steady: true,
                 };
@@ -213,19 +213,19 @@
 #[test]
 fn a_limit_is_over_with_the_first_answer_to_a_later_call_that_names_none() {
     let mut table = LimitTable::default();
-    assert!(table.heard(at(1.0), at(0.9), RUN, named(3.0)));
+    assert!(table.take_answer(at(1.0), at(0.9), RUN, named(3.0)));
     assert_eq!(table.per_s(RUN), Some(3.0));
     assert!(
-        !table.heard(at(1.1), at(0.95), RUN, LimitReport::None),
+        !table.take_answer(at(1.1), at(0.95), RUN, LimitReport::None),
         "it was on its way before"
     );
     assert_eq!(table.per_s(RUN), Some(3.0));
-    assert!(!table.heard(at(1.15), at(1.05), RUN, LimitReport::Unreadable));
+    assert!(!table.take_answer(at(1.15), at(1.05), RUN, LimitReport::Unreadable));
     assert_eq!(table.per_s(RUN), Some(3.0));
-    assert!(table.heard(at(1.2), at(1.1), RUN, LimitReport::None));
+    assert!(table.take_answer(at(1.2), at(1.1), RUN, LimitReport::None));
     assert_eq!(table.per_s(RUN), None);
     assert!(
-        !table.heard(at(1.3), at(1.25), RUN, LimitReport::None),
+        !table.take_answer(at(1.3), at(1.25), RUN, LimitReport::None),
         "that is known"
     );
 }
@@ -233,9 +233,9 @@
 #[test]
 fn the_youngest_word_counts_whoever_tells_it() {
     let (mut one, mut other) = (LimitTable::default(), LimitTable::default());
-    one.heard(at(1.0), at(1.0), RUN, named(3.0));
+    one.take_answer(at(1.0), at(1.0), RUN, named(3.0));
     let old = one.update_of(at(1.0), RUN).expect("it is known");
-    one.heard(at(2.0), at(1.5), RUN, LimitReport::None);
+    one.take_answer(at(2.0), at(1.5), RUN, LimitReport::None);
     let over = one.update_of(at(2.1), RUN).expect("it is known");
     assert!(other.take(at(1.0), &old));
     assert!(other.take(at(2.1), &over));
@@ -244,7 +244,7 @@
     late.age = 1200;
     assert!(!other.take(at(2.2), &late), "it is older");
     assert_eq!(other.per_s(RUN), None);
-    assert!(other.heard(at(2.3), at(2.2), RUN, named(1.0)));
+    assert!(other.take_answer(at(2.3), at(2.2), RUN, named(1.0)));
     assert!(
         !other.take(at(2.35), &over),
         "with a limit of the same moment the limit counts"
@@ -255,7 +255,7 @@
 #[test]
 fn a_target_that_takes_nothing_gets_a_call_now_and_then_that_can_say_when_it_is_over() {
     let mut table = LimitTable::default();
-    table.heard(at(1.0), at(1.0), RUN, named(0.0));
+    table.take_answer(at(1.0), at(1.0), RUN, named(0.0));
     let per_s = table.per_s(RUN).expect("it is known");
     assert!(per_s > 0.0 && per_s * WINDOW.as_secs() <= 1.0);
 }
@@ -273,7 +273,7 @@
         assert_eq!(table.per_s(RUN), None);
     }
     for run in 0..100_000 {
-        table.heard(at(f64::from(run)), at(f64::from(run)), RunMark(run), named(1.0));
+        table.take_answer(at(f64::from(run)), at(f64::from(run)), RunMark(run), named(1.0));
     }
     assert!(table.limited() <= 4096);
     assert_eq!(table.per_s(RunMark(99_999)), Some(1.0), "the newest is kept");
@@ -287,7 +287,7 @@
 fn who_asks_an_owner_that_does_not_know_the_others_yet_counts_once_it_does() {
     let mut plan = owner_plan(&Rates::Limit(4.0), false);
     plan.reach = Reach {
-        heard: 3,
+        reached: 3,
         known: 3,
         steady: false,
     };
--- a/crates/barleyspool_core/tests/membership/limits.rs
+++ b/crates/barleyspool_core/tests/membership/limits.rs
@@ -82,7 +82,7 @@
     net.run(Span::from_secs(1));
     for node in 0..8 {
         let reach = reach(&net, node);
-        assert_eq!((reach.heard, reach.known, reach.steady), (8, 8, true));
+        assert_eq!((reach.reached, reach.known, reach.steady), (8, 8, true));
     }
     net.start("m900", 1, &["m000"]);
     net.run(Span::from_secs(2));
@@ -127,5 +127,5 @@
     net.nodes.remove(&name(1));
     net.run(Span::from_secs(8));
     let reach = reach(&net, 4);
-    assert_eq!((reach.heard, reach.known), (7, 7));
+    assert_eq!((reach.reached, reach.known), (7, 7));
 }
--- a/crates/barleyspool_core/tests/membership/net.rs
+++ b/crates/barleyspool_core/tests/membership/net.rs
@@ -76,7 +76,7 @@
         for action in actions {
             let (to, message) = match action {
                 MemberAction::Send { to, message } => (to, message),
-                MemberAction::Told { source, reads } => {
+                MemberAction::SourceReported { source, reads } => {
                     self.told.push((from.to_owned(), source, reads));
                     continue;
                 }
--- a/crates/barleyspool_core/tests/router.rs
+++ b/crates/barleyspool_core/tests/router.rs
@@ -277,7 +277,7 @@
         });
         (
             bench.sent.len(),
-            bench.notices.contains(&TrafficAction::TellBehind),
+            bench.notices.contains(&TrafficAction::NotifyBehind),
         )
     };
     assert_eq!(
--- a/crates/barleyspool_core/tests/source_reading/fleet.rs
+++ b/crates/barleyspool_core/tests/source_reading/fleet.rs
@@ -200,7 +200,7 @@
             if reads && !source.failing {
                 node.watch.reader_answered(now);
             }
-            node.watch.told(now, source, node.held());
+            node.watch.reported(now, source, node.held());
         }
     }
 
--- a/crates/barleyspool_core/tests/support/mod.rs
+++ b/crates/barleyspool_core/tests/support/mod.rs
@@ -180,13 +180,13 @@
             PlanPeer {
                 id: NodeId(1),
                 address: "10.0.0.1:1".into(),
-                heard: true,
+                reachable: true,
                 ..PlanPeer::default()
             },
             PlanPeer {
                 id: NodeId(2),
                 address: "10.0.0.2:1".into(),
-                heard: true,
+                reachable: true,
                 ..PlanPeer::default()
             },
         ]),
--- a/crates/barleyspool_core/tests/support/rated_fleet.rs
+++ b/crates/barleyspool_core/tests/support/rated_fleet.rs
@@ -162,7 +162,7 @@
     pub fn know_reach(&mut self, now: Time, known: usize) {
         for part in self.parts.clone() {
             let reach = Reach {
-                heard: part.len() as u32,
+                reached: part.len() as u32,
                 known: known as u32,
                 steady: true,
             };
--- a/crates/barleyspool_entry/src/control_thread.rs
+++ b/crates/barleyspool_entry/src/control_thread.rs
@@ -106,7 +106,7 @@
                 Some(message) = inbox.recv() => self.take(message),
                 Some(notice) = notices.recv() => self.step(match notice {
                     LaneNotice::Rest(rest) => ControlEvent::AskedRest(rest),
-                    LaneNotice::Leaving(target) => ControlEvent::ToldLeaving(target),
+                    LaneNotice::Leaving(target) => ControlEvent::ReportedLeaving(target),
                     LaneNotice::Behind => ControlEvent::Behind,
                 }),
                 _ = tick.tick() => {
@@ -375,7 +375,7 @@
             zone: peer.listed.zone.clone(),
             state: peer.phase.name().to_owned(),
             epoch: peer.gossip.epoch.0,
-            word_age_ms: now.since(peer.heard).as_millis(),
+            word_age_ms: now.since(peer.last_report).as_millis(),
         };
         rpc::PeersReply {
             peers: self.control.peers().iter().map(state).collect(),
--- a/crates/barleyspool_entry/src/lane.rs
+++ b/crates/barleyspool_entry/src/lane.rs
@@ -197,10 +197,10 @@
                     tokio::spawn(async move { TargetPool::probe(target, &address, &events).await });
                 }
                 TrafficAction::NotifyRest(rest) => self.notify(LaneNotice::Rest(rest)),
-                TrafficAction::TellLeaving { target, incarnation } => {
+                TrafficAction::NotifyLeaving { target, incarnation } => {
                     self.notify(LaneNotice::Leaving(LeavingTarget { target, incarnation }));
                 }
-                TrafficAction::TellBehind => self.notify(LaneNotice::Behind),
+                TrafficAction::NotifyBehind => self.notify(LaneNotice::Behind),
             }
         }
     }
--- a/crates/barleyspool_entry/src/metrics.rs
+++ b/crates/barleyspool_entry/src/metrics.rs
@@ -27,7 +27,7 @@
     Counter::Cancelled,
     Counter::Quarantined,
     Counter::QuarantineCapped,
-    Counter::ToldLeaving,
+    Counter::ReportedLeaving,
     Counter::Spent(barleyspool_core::ServiceIx(0)),
     Counter::Wasted(barleyspool_core::ServiceIx(0)),
 ];
--- a/crates/barleyspool_gateway/src/control/reading.rs
+++ b/crates/barleyspool_gateway/src/control/reading.rs
@@ -38,8 +38,8 @@
     changed: watch::Sender<()>,
     /// Ends the watch of each feed: it may hear nothing any more, or should be a shorter one.
     suspect: [Notify; 2],
-    /// Tells that another node has something newer.
-    told: Notify,
+    /// Notified when another node has something newer.
+    ahead: Notify,
 }
 
 impl Reading {
@@ -61,7 +61,7 @@
             announced: Cell::default(),
             changed: watch::Sender::new(()),
             suspect: [Notify::new(), Notify::new()],
-            told: Notify::new(),
+            ahead: Notify::new(),
         }
     }
 
@@ -90,7 +90,7 @@
     /// Waits until another node has something newer, `longest` at the most.
     pub async fn until_reported(&self, longest: Duration) {
         // Either is a reason to look.
-        let _ = tokio::time::timeout(longest, self.told.notified()).await;
+        let _ = tokio::time::timeout(longest, self.ahead.notified()).await;
     }
 
     /// The feed has to be read whole at the source. A watch of it that is under way ends: it should have told what is missing,
@@ -264,8 +264,8 @@
     pub fn source_moved(&self, first_hand: bool) {
         let state = self.source_state();
         self.step_members(MemberEvent::Source(state));
-        let tells = first_hand || self.reading.watch.borrow().is_reader();
-        if tells && self.reading.announced.get() != state {
+        let announces = first_hand || self.reading.watch.borrow().is_reader();
+        if announces && self.reading.announced.get() != state {
             self.announce(state);
         }
     }
@@ -289,15 +289,15 @@
     // What others tell
 
     /// Another node told how far it has read the source.
-    pub fn source_reported(&self, told: SourceState, reads: bool) {
+    pub fn source_reported(&self, state: SourceState, reads: bool) {
         let now = self.now();
-        if reads && !told.failing {
+        if reads && !state.failing {
             self.reader_answered(now);
         }
         let held = self.held();
-        self.reading.watch.borrow_mut().told(now, told, held);
-        if held.is_behind(told) {
-            self.reading.told.notify_one();
+        self.reading.watch.borrow_mut().reported(now, state, held);
+        if held.is_behind(state) {
+            self.reading.ahead.notify_one();
         }
     }
 
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -155,7 +155,7 @@
         for action in actions {
             match action {
                 MemberAction::Send { .. } => self.outbox.borrow_mut().push(action),
-                MemberAction::Told { source, reads } => self.source_reported(source, reads),
+                MemberAction::SourceReported { source, reads } => self.source_reported(source, reads),
                 MemberAction::CallsRefused => self.publish_refused(now),
                 MemberAction::TargetLeaves { run } => leaving.push(run),
                 MemberAction::ReachChanged => changed = true,
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -22,7 +22,7 @@
     Counter::Undelivered,
     Counter::Cancelled,
     Counter::Quarantined,
-    Counter::ToldLeaving,
+    Counter::ReportedLeaving,
     Counter::TargetEnded,
     Counter::AskedRest,
     Counter::RestUnreadable,
@@ -105,8 +105,8 @@
         u64::from(shared.source_reader.load(Ordering::Relaxed))
     });
     gauge(meter, shared, "source_silence_ms", |shared| {
-        let heard = Time(shared.source_answered.load(Ordering::Relaxed));
-        shared.clock.now().since(heard).as_millis()
+        let answered = Time(shared.source_answered.load(Ordering::Relaxed));
+        shared.clock.now().since(answered).as_millis()
     });
     total(meter, shared, "source_calls", |shared| &shared.source_calls);
     total(meter, shared, "source_asked", |shared| &shared.asked);
--- a/crates/barleyspool_gateway/src/traffic/call_guard.rs
+++ b/crates/barleyspool_gateway/src/traffic/call_guard.rs
@@ -45,7 +45,7 @@
     /// A target's answer is whole.
     pub fn answered(&self, status: StatusCode) {
         self.traffic.count(Counter::Complete(self.rank));
-        self.tell(status.as_u16(), None);
+        self.log_end(status.as_u16(), None);
     }
 
     /// The call ended without a target's whole answer; status 0 is a closed connection.
@@ -54,10 +54,10 @@
             Verdict::NotRun => Counter::RefusedNotRun(failure.reason),
             _ => Counter::RefusedUnknown(failure.reason),
         });
-        self.tell(status, Some(failure));
+        self.log_end(status, Some(failure));
     }
 
-    fn tell(&self, status: u16, failure: Option<&CallFailure>) {
+    fn log_end(&self, status: u16, failure: Option<&CallFailure>) {
         if self.ended.replace(true) {
             return;
         }
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -128,7 +128,7 @@
         target_ends::check(call)?;
         let chosen = choose(call).await?;
         let mut send = SendGuard::begin(call, chosen);
-        tell_sent(call, &send.chosen, &inputs, retry);
+        log_sent(call, &send.chosen, &inputs, retry);
         let sent = {
             let sent = send_once(call, &send.chosen, &inputs, call.head.resume_after);
             let wait = call.fetch_time().filter(|_| !inputs.is_empty());
@@ -245,7 +245,7 @@
 }
 
 /// Tells the log where a call goes.
-pub fn tell_sent(call: &Call, chosen: &Chosen, inputs: &[String], retry: &str) {
+pub fn log_sent(call: &Call, chosen: &Chosen, inputs: &[String], retry: &str) {
     let now = call.traffic.now();
     let plan = call.traffic.plan();
     let far = plan
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -51,7 +51,7 @@
 
 struct Link {
     client: PiecesClient,
-    heard: Cell<Instant>,
+    last_answer: Cell<Instant>,
     pinging: Cell<bool>,
 }
 
@@ -116,8 +116,8 @@
 
     /// How long the engines of a shard have no room yet, by their owner's last word; `None` when they may have.
     pub fn no_room(&self, now: Time, id: &PoolId) -> Option<Span> {
-        let (until, told) = *self.no_room.borrow().get(id)?;
-        let holds = now < until && now.since(told) < NO_ROOM_TTL;
+        let (until, reported) = *self.no_room.borrow().get(id)?;
+        let holds = now < until && now.since(reported) < NO_ROOM_TTL;
         holds.then(|| until.since(now))
     }
 
@@ -171,7 +171,7 @@
             tokio::select! {
                 end = made.as_mut() => {
                     let Ok(end) = end else { return Made::Broken };
-                    link.heard.set(Instant::now());
+                    link.last_answer.set(Instant::now());
                     self.waits.borrow_mut().insert(id.clone(), (end.wait, traffic.now()));
                     return Made::Ended(end.end);
                 }
@@ -192,7 +192,7 @@
             .ok()?;
         let link = Rc::new(Link {
             client,
-            heard: Cell::new(Instant::now()),
+            last_answer: Cell::new(Instant::now()),
             pinging: Cell::new(false),
         });
         self.links
@@ -255,14 +255,14 @@
 /// Waits a while, then makes sure that the node answers; orders that share a link share the question.
 async fn still_there(link: &Link) -> bool {
     timer::sleep(SILENT).await;
-    if link.heard.get().elapsed() < SILENT || link.pinging.get() {
+    if link.last_answer.get().elapsed() < SILENT || link.pinging.get() {
         return true;
     }
     let _mark = PingMark::new(link);
     let asked = timer::timeout(PING, link.client.ping(context::current())).await;
     let there = matches!(asked, Ok(Ok(())));
     if there {
-        link.heard.set(Instant::now());
+        link.last_answer.set(Instant::now());
     }
     there
 }
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -43,7 +43,7 @@
     /// The first output came.
     pub fn first_output(&mut self) {
         if !std::mem::replace(&mut self.first_output, true) {
-            self.tell(PlaceStep::FirstOutput);
+            self.report(PlaceStep::FirstOutput);
         }
     }
 
@@ -58,10 +58,10 @@
                 }
         );
         self.ended = true;
-        self.tell(if good { PlaceStep::Ended } else { PlaceStep::Failed });
+        self.report(if good { PlaceStep::Ended } else { PlaceStep::Failed });
     }
 
-    fn tell(&self, step: PlaceStep) {
+    fn report(&self, step: PlaceStep) {
         match &self.owner {
             Owner::Me => take_step(&self.traffic, &self.call, step),
             Owner::Other(address) => {
@@ -75,7 +75,7 @@
 impl Drop for Placement {
     fn drop(&mut self) {
         if !self.ended {
-            self.tell(PlaceStep::Ended);
+            self.report(PlaceStep::Ended);
         }
     }
 }
@@ -110,11 +110,11 @@
             service: need.service.clone(),
             shard: (first.number + step) % first.of,
         };
-        let told = traffic
+        let place = traffic
             .peers
             .no_room(traffic.now(), &id)
             .filter(|wait| all_bounded && *wait > max_wait);
-        let place = match told {
+        let place = match place {
             Some(wait) => Place::NoRoom(wait),
             None => place_in(call, &id, max_wait).await,
         };
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -203,7 +203,7 @@
             return false;
         };
         relay.send = SendGuard::begin(&call, chosen);
-        final_send::tell_sent(&call, &relay.send.chosen, &relay.inputs, "resumed");
+        final_send::log_sent(&call, &relay.send.chosen, &relay.inputs, "resumed");
         let sent = final_send::send_once(&call, &relay.send.chosen, &relay.inputs, passed.event).await;
         let mut history = call.history.get();
         match sent {
--- a/crates/barleyspool_gateway/src/traffic/target_reports.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_reports.rs
@@ -60,7 +60,7 @@
 fn note_leaving(traffic: &Traffic, asked: Asked) {
     let run = traffic.forwarder.borrow().leaving_run(asked.sent, asked.target);
     let Some(run) = run else { return };
-    traffic.count(Counter::ToldLeaving);
+    traffic.count(Counter::ReportedLeaving);
     traffic.reports.send(Sighting::Leaves { run });
     let line = Line::TargetLeaves {
         target: asked.target,
--- a/crates/barleyspool_stands/src/replay/run.rs
+++ b/crates/barleyspool_stands/src/replay/run.rs
@@ -276,9 +276,9 @@
                 }
                 TrafficAction::Probe { target, .. } => self.probe(now, target),
                 TrafficAction::Part { .. }
-                | TrafficAction::TellLeaving { .. }
+                | TrafficAction::NotifyLeaving { .. }
                 | TrafficAction::NotifyRest(_)
-                | TrafficAction::TellBehind => {}
+                | TrafficAction::NotifyBehind => {}
             }
         }
     }
