--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -172,11 +172,11 @@
 fn reported_wait(call: &Call, stage: usize) -> Span {
     let traffic = &call.traffic;
     let id = stages::likely_pool(call, stage);
-    let chances = match traffic.peers.owner(traffic, &id) {
+    let wait = match traffic.peers.owner(traffic, &id) {
         Owner::Me => traffic.pools.known(&id).map(|pool| pool.wait(traffic)),
         Owner::Other(_) => traffic.peers.wait(traffic.now(), &id),
     };
-    chances.unwrap_or_default()
+    wait.unwrap_or_default()
 }
 
 // ----------------------------------------------------------------------------
