--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -109,7 +109,7 @@
 
     /// How slow it is to be reckoned with now; without measurements that goes towards `unmeasured`.
     ///
-    /// Measurements are relative to an average of the service, and often below [`AS_EXPECTED`]: a plain target that nobody has measured counts as one of the
+    /// Measurements are relative to an average of the service, and often below what is expected: a plain target that nobody has measured counts as one of the
     /// fastest, or it would get no call beside them.
     pub fn slowness_now(&self, now: Time, unmeasured: f64) -> f64 {
         let idle = now.since(self.measured).as_secs().min(60.0);
