Log how long a node was behind, and which step of a request to another node failed

The three hypotheses could not be told apart by logs: an ask_failed line said neither how long the node had been behind, nor how many nodes had the change, nor whether the connection or the answer failed; a configuration line did not say how long the node had known of it. ask_failed has step, took_ms, behind_ms and holders now, configuration, targets and evacuated have behind_ms, and the gauge configuration_version_reported shows the latest version that other nodes report.

--- a/crates/barleyspool_gateway/src/control/peer_sync.rs
+++ b/crates/barleyspool_gateway/src/control/peer_sync.rs
@@ -5,7 +5,8 @@
 use crate::adapters::Feed;
 use crate::event_log::LogEvent;
 use barleyspool_core::{
-    ListHolder, ListRequester, Member, MemberHealth, PackedList, Revision, Span, Time, choose_list_holder,
+    HeldRevisions, ListHolder, ListRequester, Member, MemberHealth, PackedList, Revision, Span, Time,
+    choose_list_holder,
 };
 use barleyspool_wire::net;
 use barleyspool_wire::timer;
@@ -71,6 +72,7 @@
 /// list.
 async fn request_and_apply(state: &ControlState, peer: &SocketAddr, avoided: &mut AvoidedPeers) -> bool {
     avoided.retain(|_, until| state.now() < *until);
+    let started = state.now();
     let result = request(state, peer).await;
     state.shared.count_peer_request(result.is_ok());
     match result {
@@ -83,17 +85,39 @@
             !busy
         }
         Err(error) => {
-            let event = LogEvent::PeerRequestFailed {
-                peer: &peer.to_string(),
-                cause: &error.to_string(),
-            };
-            state.log.write(state.now(), &event);
+            log_failed_request(state, peer, started, &error);
             avoided.insert(*peer, state.now() + FAILURE_BACKOFF);
             true
         }
     }
 }
 
+fn log_failed_request(state: &ControlState, peer: &SocketAddr, started: Time, error: &RequestError) {
+    let now = state.now();
+    let held = state.held_revisions();
+    let holders = state
+        .membership
+        .borrow()
+        .members()
+        .filter(|member| is_holder(member, held))
+        .count();
+    let event = LogEvent::PeerRequestFailed {
+        peer: &peer.to_string(),
+        step: error.step(),
+        cause: &error.to_string(),
+        took_ms: now.since(started).as_millis(),
+        behind_ms: state.behind_ms(),
+        holders,
+    };
+    state.log.write(now, &event);
+}
+
+/// Whether a node can be asked for data that is newer than `held`.
+fn is_holder(member: &Member, held: HeldRevisions) -> bool {
+    let is_up = matches!(member.health, MemberHealth::Alive | MemberHealth::Leaving);
+    is_up && held.is_behind(member.source)
+}
+
 /// Chooses the node to request data from and returns its relay address; `None` if no suitable node has newer
 /// data.
 fn choose_peer(state: &ControlState, avoided: &AvoidedPeers) -> Option<SocketAddr> {
@@ -106,10 +130,6 @@
     // A node that has a list normally receives only the changes, which are small enough to cross zones.
     let may_ask_other_zones = state.has_target_list.get() || requester.may_ask_other_zones();
     let membership = state.membership.borrow();
-    let is_ahead = |member: &&Member| {
-        let is_up = matches!(member.health, MemberHealth::Alive | MemberHealth::Leaving);
-        is_up && held.is_behind(member.source)
-    };
     let list_holder = |member: &Member| {
         let address: SocketAddr = member.facts.address.parse().ok()?;
         // All nodes use the same relay port.
@@ -123,7 +143,10 @@
             link_mbps: member.facts.link_mbps,
         })
     };
-    let holders = membership.members().filter(is_ahead).filter_map(list_holder);
+    let holders = membership
+        .members()
+        .filter(|member| is_holder(member, held))
+        .filter_map(list_holder);
     let holders = holders.filter(|holder| may_ask_other_zones || !holder.other_zone);
     choose_list_holder(holders, &mut rand::rng())
 }
@@ -152,6 +175,17 @@
     InvalidAnswer(String),
 }
 
+impl RequestError {
+    /// The step that failed, as in [`LogEvent::PeerRequestFailed`].
+    fn step(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "connect",
+            Self::TimedOut | Self::ConnectionFailed(_) | Self::InvalidRequest(_) => "answer",
+            Self::InvalidAnswer(_) => "apply",
+        }
+    }
+}
+
 async fn request(state: &ControlState, peer: &SocketAddr) -> Result<RelayAnswer, RequestError> {
     let path = relay_path(state.held_revisions(), accepts_full_configuration(state));
     let answer = timer::timeout(REQUEST_TIMEOUT, fetch(peer, &path)).await;
@@ -182,7 +216,7 @@
     let changed = match answer.targets {
         FeedUpdate::Unchanged => false,
         FeedUpdate::Changes(changes) => state.apply_targets(revision, changes, origin),
-        FeedUpdate::Full(list) => apply_full_list(state, revision, &list, origin),
+        FeedUpdate::Full(list) => apply_full_list(state, revision, &list, peer),
         // A later check repeats the request, to this node or to another one.
         FeedUpdate::HistoryGone | FeedUpdate::Busy => false,
     };
@@ -192,20 +226,16 @@
 }
 
 /// Applies a full target list. Returns whether the list changed.
-fn apply_full_list(state: &ControlState, revision: Revision, bytes: &[u8], origin: Origin) -> bool {
+fn apply_full_list(state: &ControlState, revision: Revision, bytes: &[u8], peer: &SocketAddr) -> bool {
     let invalid = |error: &dyn ToString| RequestError::InvalidAnswer(error.to_string());
     let list = rmp_serde::from_slice::<PackedList>(bytes).map_err(|error| invalid(&error));
     match list.and_then(|list| list.unpack().map_err(|error| invalid(&error))) {
         Ok(table) => {
             state.source_access.record_full_read(Feed::Targets);
-            state.replace_targets(revision, table, origin)
+            state.replace_targets(revision, table, Origin::Node(&peer.to_string()))
         }
         Err(cause) => {
-            let event = LogEvent::PeerRequestFailed {
-                peer: origin.name(),
-                cause: &cause.to_string(),
-            };
-            state.log.write(state.now(), &event);
+            log_failed_request(state, peer, state.now(), &cause);
             false
         }
     }
--- a/crates/barleyspool_gateway/src/control/source_access.rs
+++ b/crates/barleyspool_gateway/src/control/source_access.rs
@@ -324,11 +324,19 @@
             .source_watch
             .borrow_mut()
             .handle_report(now, state, held);
+        self.shared
+            .reported_version
+            .fetch_max(state.version.0, Ordering::Relaxed);
         if held.is_behind(state) {
             self.source_access.newer_reported.notify_one();
         }
     }
 
+    /// Milliseconds since this node learned that another node has newer data; zero if none does.
+    pub fn behind_ms(&self) -> u64 {
+        self.source_access.behind_for(self.now()).as_millis()
+    }
+
     /// Whether this node should request newer data from another node.
     pub fn should_ask(&self) -> bool {
         let failing = self.source_access.any_failing();
--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -40,6 +40,7 @@
                     version,
                     previous,
                     from: origin_name,
+                    behind_ms: self.behind_ms(),
                 };
                 self.log.write(self.now(), &event);
                 self.publish_plan();
@@ -127,6 +128,7 @@
             zones: &zones.iter().map(String::as_str).collect::<Vec<_>>().join(","),
             revision: revision.number(),
             from: origin.name(),
+            behind_ms: self.behind_ms(),
         };
         self.log.write(self.now(), &event);
         let changed = self.targets.borrow_mut().apply_evacuations(self.now(), &zones);
@@ -226,6 +228,7 @@
             unverified: counts.unverified,
             revision,
             from: origin.name(),
+            behind_ms: self.behind_ms(),
         };
         self.log.write(self.now(), &event);
         self.publish_plan();
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -62,6 +62,8 @@
         previous: u64,
         /// The origin: `source`, or the address of the node that sent it.
         from: &'a str,
+        /// How long this node knew that another node had newer data, in milliseconds.
+        behind_ms: u64,
     },
     /// A configuration was rejected as invalid.
     #[serde(rename = "configuration_refused")]
@@ -103,6 +105,8 @@
         /// have not been verified since.
         #[serde(rename = "doubted")]
         unverified: usize,
+        /// How long this node knew that another node had newer data, in milliseconds.
+        behind_ms: u64,
     },
     /// The source was restored from a backup, so its revision numbers decreased.
     #[serde(rename = "source_went_back")]
@@ -128,6 +132,8 @@
         revision: u64,
         /// The origin: `source`, or the address of the node that sent it.
         from: &'a str,
+        /// How long this node knew that another node had newer data, in milliseconds.
+        behind_ms: u64,
     },
     /// A feed of the source became unavailable or available again, or fails for another reason than before.
     #[serde(rename = "source")]
@@ -157,8 +163,16 @@
     PeerRequestFailed {
         /// The address of the node.
         peer: &'a str,
+        /// The step that failed: `connect`, `answer` or `apply`.
+        step: &'a str,
         /// The error.
         cause: &'a str,
+        /// Duration of the request, in milliseconds.
+        took_ms: u64,
+        /// How long this node knew that another node had newer data, in milliseconds.
+        behind_ms: u64,
+        /// The number of nodes that report newer data.
+        holders: usize,
     },
     /// The view of the other nodes converged after a start: this node most likely knows all of them.
     #[serde(rename = "members")]
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -82,6 +82,7 @@
             unreadable_datagrams: AtomicU64::new(0),
             source_calls: AtomicU64::new(0),
             source_answered_at: AtomicU64::new(0),
+            reported_version: AtomicU64::new(0),
             is_source_reader: AtomicBool::new(true),
             peer_requests: AtomicU64::new(0),
             failed_peer_requests: AtomicU64::new(0),
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -89,6 +89,9 @@
         let plan = shared.plan.load();
         plan.catalog.as_ref().map_or(0, |catalog| catalog.version().0)
     });
+    register_gauge(meter, shared, "configuration_version_reported", |shared| {
+        shared.reported_version.load(Ordering::Relaxed)
+    });
     register_gauge(meter, shared, "targets_limited", |shared| {
         shared.plan.load().count_rate_limited() as u64
     });
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -69,6 +69,8 @@
     pub source_calls: AtomicU64,
     /// When the source, or a node that reads it, last answered, in microseconds of the clock.
     pub source_answered_at: AtomicU64,
+    /// The latest version of the configuration that another node has reported; zero before the first report.
+    pub reported_version: AtomicU64,
     /// Whether this node reads the source on behalf of its zone.
     pub is_source_reader: AtomicBool,
     /// Requests to other nodes for newer configuration or targets.
--- a/crates/barleyspool_stands/src/target_link.rs
+++ b/crates/barleyspool_stands/src/target_link.rs
@@ -1,4 +1,4 @@
-//! A link between one node and one target that a test can interrupt.
+//! A link between one node and one target, or another node, that a test can interrupt.
 //!
 //! Unlike a [`crate::fault_relay::FaultRelay`] it also refuses new connections, or leaves them without a reply.
 
@@ -23,6 +23,27 @@
     Silent,
     /// Open connections pass, and new ones are refused.
     RefusesNew,
+    /// Open connections pass nothing; new ones are accepted and pass nothing either, as at a proxy that has lost the other side.
+    Mute,
+    /// Open connections are reset; new ones are accepted and then reset.
+    AcceptsAndResets,
+}
+
+impl LinkState {
+    /// Whether new connections are accepted.
+    fn accepts(self) -> bool {
+        matches!(self, Self::Up | Self::Mute | Self::AcceptsAndResets)
+    }
+
+    /// Whether open connections pass data.
+    fn passes(self) -> bool {
+        matches!(self, Self::Up | Self::RefusesNew)
+    }
+
+    /// Whether open connections are reset.
+    fn resets(self) -> bool {
+        matches!(self, Self::Reset | Self::AcceptsAndResets)
+    }
 }
 
 /// A link from one node to one target.
@@ -68,13 +89,15 @@
     loop {
         let state = *changes.borrow_and_update();
         let ended = match state {
-            LinkState::Up => {
+            LinkState::Up | LinkState::Mute | LinkState::AcceptsAndResets => {
                 let open = match listener.take() {
                     Some(open) => Ok(open),
                     None => listen(address, BACKLOG),
                 };
                 let Ok(open) = open else { return };
-                accept(open, target, &mut changes).await
+                let ended = accept(&open, target, &mut changes).await;
+                listener = changes.borrow().accepts().then_some(open);
+                ended
             }
             LinkState::Reset | LinkState::RefusesNew => changes.changed().await.is_err(),
             LinkState::Silent => {
@@ -93,7 +116,11 @@
 }
 
 /// Passes connections until the state changes. Returns whether the link was dropped.
-async fn accept(listener: TcpListener, target: SocketAddr, changes: &mut watch::Receiver<LinkState>) -> bool {
+async fn accept(
+    listener: &TcpListener,
+    target: SocketAddr,
+    changes: &mut watch::Receiver<LinkState>,
+) -> bool {
     loop {
         tokio::select! {
             accepted = listener.accept() => {
@@ -107,6 +134,10 @@
 }
 
 async fn pass(mut node: TcpStream, target: SocketAddr, mut changes: watch::Receiver<LinkState>) {
+    if changes.borrow().resets() {
+        let _ = node.set_zero_linger();
+        return;
+    }
     let Ok(mut target) = TcpStream::connect(target).await else {
         return;
     };
@@ -117,7 +148,7 @@
         tokio::select! {
             () = copy(node_read, target_write, up) => false,
             () = copy(target_read, node_write, down) => false,
-            reset = changes.wait_for(|state| *state == LinkState::Reset) => reset.is_ok(),
+            reset = changes.wait_for(|state| state.resets()) => reset.is_ok(),
         }
     };
     if is_reset {
@@ -132,11 +163,7 @@
         let Ok(length) = from.read(&mut buffer).await else {
             return;
         };
-        if changes
-            .wait_for(|state| *state != LinkState::Silent)
-            .await
-            .is_err()
-        {
+        if changes.wait_for(|state| state.passes()).await.is_err() {
             return;
         }
         if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
