A node that is behind asks further nodes while one does not answer

Callers were refused with keys that an acknowledged configuration had added, at nodes whose ask_failed lines are 1.1 s apart with a different peer each.

Cause: requests for newer data were made one after the other, each with a timeout of 1 s and 0.1 s until the next, to a random node that reports newer data. Each node that is suspended, slow or cut costs 1.1 s, so the time until a change is in force grew with the number of such nodes.

A further node is asked after 150 ms (500 ms for a whole list), every second one in another zone first, at most seven at a time; the first answer counts and the others are given up. Nodes that did not answer are asked last for 2 s. The decision is in the core (HolderRequests), tested at 12, 89 and 410 nodes in virtual time: with seven of eleven nodes silent at most 1.1 s, with half of the nodes silent a median under 170 ms at any size.

A request that is answered in time stays the only one, so nothing else grows. Ruled out: slow connections (the record says that no answer came, and the new test accepts connections at once).

--- a/crates/barleyspool_core/tests/source_reading/main.rs
+++ b/crates/barleyspool_core/tests/source_reading/main.rs
@@ -5,6 +5,7 @@
 
 mod changes;
 mod fleet;
+mod holder_requests;
 mod initial_list;
 #[path = "../membership/net.rs"]
 #[allow(dead_code, reason = "shared with the membership tests")]
--- a/crates/barleyspool_gateway/src/control/peer_sync.rs
+++ b/crates/barleyspool_gateway/src/control/peer_sync.rs
@@ -5,8 +5,8 @@
 use crate::adapters::Feed;
 use crate::event_log::LogEvent;
 use barleyspool_core::{
-    HeldRevisions, ListHolder, ListRequester, Member, MemberHealth, PackedList, Revision, Span, Time,
-    choose_list_holder,
+    HeldRevisions, HolderRequests, ListHolder, ListRequester, Member, MemberHealth, PackedList, RequestEnd,
+    Revision, Span, Time,
 };
 use barleyspool_wire::net;
 use barleyspool_wire::timer;
@@ -14,81 +14,109 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 
 /// Interval between checks of whether to request data from another node or to announce this node's state. A
 /// report of newer data triggers a check at once.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const CHECK_INTERVAL: Span = Span::from_millis(200);
+/// Shortest wait between two checks, so that a due request that finds no node to ask causes no busy loop.
+const MIN_CHECK_INTERVAL: Span = Span::from_millis(20);
 /// Timeout of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1000);
-/// How long other nodes are preferred over a node that failed to answer.
-const FAILURE_BACKOFF: Span = Span::from_secs(2);
-/// Minimum interval between two requests. Configurations can change ten times per second, and each request
-/// costs a connection to a node that receives requests from many others as well.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// How long other nodes are preferred over a node that was busy transferring lists: a list takes about 0.1 s
-/// on a slow link.
-const BUSY_BACKOFF: Span = Span::from_millis(100);
-/// Minimum interval between two requests while the nodes that have the list are busy.
-const BUSY_REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Nodes that failed to answer or were busy, and until when other nodes are preferred over them.
-type AvoidedPeers = HashMap<SocketAddr, Time>;
+/// A request to another node that has ended.
+struct EndedRequest {
+    peer: SocketAddr,
+    started: Time,
+    result: Result<RelayAnswer, RequestError>,
+}
 
 /// Requests newer data from other nodes, and periodically announces the source state of this node, until the
 /// process ends.
 pub async fn run(state: Rc<ControlState>) {
-    let mut avoided = AvoidedPeers::new();
-    // The longest time until the next check.
+    let mut requests = HolderRequests::default();
+    let mut pending = JoinSet::new();
     let mut max_wait = CHECK_INTERVAL;
     loop {
-        state.source_access.wait_for_newer_report(max_wait).await;
-        max_wait = CHECK_INTERVAL;
+        tokio::select! {
+            Some(ended) = pending.join_next() => {
+                // A request panics only on a defect, which the panic message reports.
+                if let Ok(ended) = ended {
+                    finish_request(&state, &mut requests, ended);
+                }
+            }
+            () = state.source_access.wait_for_newer_report(duration(max_wait)) => {}
+        }
         state.expire_targets();
         state.update_source_role();
         state.announce_if_due();
+        max_wait = CHECK_INTERVAL;
         if !state.should_ask() {
+            cancel_requests(&state, &mut requests, &mut pending);
             continue;
         }
-        let Some(peer) = choose_peer(&state, &avoided) else {
-            continue;
-        };
-        if request_and_apply(&state, &peer, &mut avoided).await {
-            tokio::time::sleep(REQUEST_INTERVAL).await;
-        } else {
-            tokio::time::sleep(BUSY_REQUEST_INTERVAL).await;
-            max_wait = Duration::ZERO;
+        if let Some(peer) = start_request(&state, &mut requests) {
+            let state = Rc::clone(&state);
+            pending.spawn_local(async move {
+                let started = state.now();
+                let result = request(&state, &peer).await;
+                EndedRequest {
+                    peer,
+                    started,
+                    result,
+                }
+            });
         }
+        let next_start = requests.next_start().since(state.now());
+        max_wait = next_start.clamp(MIN_CHECK_INTERVAL, CHECK_INTERVAL);
     }
 }
 
-/// Requests newer data from a node and applies it. Returns false when the node was too busy to transfer its
-/// list.
-async fn request_and_apply(state: &ControlState, peer: &SocketAddr, avoided: &mut AvoidedPeers) -> bool {
-    avoided.retain(|_, until| state.now() < *until);
-    let started = state.now();
-    let result = request(state, peer).await;
+fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+/// Applies the answer of a node, or logs why there is none.
+fn finish_request(state: &ControlState, requests: &mut HolderRequests<SocketAddr>, ended: EndedRequest) {
+    let EndedRequest {
+        peer,
+        started,
+        result,
+    } = ended;
     state.shared.count_peer_request(result.is_ok());
-    match result {
+    let end = match result {
         Ok(answer) => {
             let busy = matches!(answer.targets, FeedUpdate::Busy);
+            apply_answer(state, answer, &peer);
             if busy {
-                avoided.insert(*peer, state.now() + BUSY_BACKOFF);
+                RequestEnd::Busy
+            } else {
+                RequestEnd::Answered
             }
-            apply_answer(state, answer, peer);
-            !busy
         }
         Err(error) => {
-            log_failed_request(state, peer, started, &error);
-            avoided.insert(*peer, state.now() + FAILURE_BACKOFF);
-            true
+            log_failed_request(state, &peer, started, &error);
+            RequestEnd::Failed
         }
+    };
+    requests.end(state.now(), peer, end);
+}
+
+/// Gives up the requests to nodes that have not answered by the time that another one has.
+fn cancel_requests(
+    state: &ControlState,
+    requests: &mut HolderRequests<SocketAddr>,
+    pending: &mut JoinSet<EndedRequest>,
+) {
+    pending.abort_all();
+    for (peer, started) in requests.cancel(state.now()) {
+        state.shared.count_peer_request(false);
+        log_failed_request(state, &peer, started, &RequestError::Overtaken);
     }
 }
 
@@ -118,27 +146,25 @@
     is_up && held.is_behind(member.source)
 }
 
-/// Chooses the node to request data from and returns its relay address; `None` if no suitable node has newer
-/// data.
-fn choose_peer(state: &ControlState, avoided: &AvoidedPeers) -> Option<SocketAddr> {
+/// Starts a request if one is due and a suitable node has newer data; returns the relay address of that node.
+fn start_request(state: &ControlState, requests: &mut HolderRequests<SocketAddr>) -> Option<SocketAddr> {
+    let now = state.now();
     let held = state.held_revisions();
     let settings = &state.shared.settings;
     let requester = ListRequester {
         link_mbps: settings.link_mbps(),
-        waited: state.source_access.behind_for(state.now()),
+        waited: state.source_access.behind_for(now),
     };
+    let has_list = state.has_target_list.get();
     // A node that has a list normally receives only the changes, which are small enough to cross zones.
-    let may_ask_other_zones = state.has_target_list.get() || requester.may_ask_other_zones();
+    let may_ask_other_zones = has_list || requester.may_ask_other_zones();
     let membership = state.membership.borrow();
     let list_holder = |member: &Member| {
         let address: SocketAddr = member.facts.address.parse().ok()?;
-        // All nodes use the same relay port.
-        let relay_address = SocketAddr::new(address.ip(), settings.relay.port());
         Some(ListHolder {
-            address: relay_address,
-            avoided: avoided
-                .get(&relay_address)
-                .is_some_and(|until| state.now() < *until),
+            // All nodes use the same relay port.
+            address: SocketAddr::new(address.ip(), settings.relay.port()),
+            avoided: false,
             other_zone: member.facts.zone != settings.zone,
             link_mbps: member.facts.link_mbps,
         })
@@ -148,7 +174,7 @@
         .filter(|member| is_holder(member, held))
         .filter_map(list_holder);
     let holders = holders.filter(|holder| may_ask_other_zones || !holder.other_zone);
-    choose_list_holder(holders, &mut rand::rng())
+    requests.start(now, !has_list, holders, &mut rand::rng())
 }
 
 /// Whether this node accepts a full configuration from another node rather than only the changes. It does so
@@ -165,6 +191,8 @@
 enum RequestError {
     /// no answer within the timeout
     TimedOut,
+    /// no answer before that of another node
+    Overtaken,
     /// cannot connect to the node: {0}
     Unreachable(std::io::Error),
     /// the connection failed: {0}
@@ -180,7 +208,9 @@
     fn step(&self) -> &'static str {
         match self {
             Self::Unreachable(_) => "connect",
-            Self::TimedOut | Self::ConnectionFailed(_) | Self::InvalidRequest(_) => "answer",
+            Self::TimedOut | Self::Overtaken | Self::ConnectionFailed(_) | Self::InvalidRequest(_) => {
+                "answer"
+            }
             Self::InvalidAnswer(_) => "apply",
         }
     }
