A node that stays behind reads the source itself

A follower whose known holders of newer data do not answer never got a change: it asked them for 12 s and more, and did not read the source. Callers were refused with added keys and routes, and calls went to leaving targets.

Cause: the announcements of the readers, which arrive by datagram, postpone the time from which a follower reads the source. They show that somebody reads, not that this node gets what was read. A reader with a silent watch was in the same place until its watch timed out after 20 s.

A node that has been behind for 0.6 s reads what it lacks from the source, a reader with a new watch, spread so that all nodes together read at most 200 times a second at any size of the fleet. What it reads it announces, so that the others know a node that answers.

In virtual time the read starts within 0.7 s at 12 nodes, 1.1 s at 89, 2.7 s at 410.

--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -23,6 +23,12 @@
 /// How long a node that watches the source waits for its own watch to deliver what another node already has:
 /// a slow source takes about 250 ms to respond.
 const OWN_WATCH_GRACE: Span = Span::from_millis(400);
+/// How long a node asks others for newer data before it reads the source itself, although announcements of readers still
+/// arrive: four requests without an answer.
+const BEHIND_TIMEOUT: Span = Span::from_millis(600);
+/// Total rate at which all nodes that are behind start to read the source themselves, whatever their number. The
+/// first of them have the data within milliseconds, and announce it to their zones.
+const BEHIND_READS_PER_S: f64 = 200.0;
 /// Total rate at which all nodes that are not readers retry a source that does not respond, whatever their
 /// number. Readers retry more often and notify them when it responds again. With exponential backoff on each
 /// node, 410 nodes that had just started made 584 calls in five seconds.
@@ -42,7 +48,17 @@
 impl HeldRevisions {
     /// Whether a node that reported `state` has newer data.
     pub fn is_behind(&self, state: SourceState) -> bool {
-        state.version > self.version || state.list > self.list || state.evacuations > self.evacuations
+        self.lacks_configuration(state) || self.lacks_targets(state)
+    }
+
+    /// Whether a node that reported `state` has a newer configuration or newer evacuated zones.
+    pub fn lacks_configuration(&self, state: SourceState) -> bool {
+        state.version > self.version || state.evacuations > self.evacuations
+    }
+
+    /// Whether a node that reported `state` has a newer list of targets.
+    pub fn lacks_targets(&self, state: SourceState) -> bool {
+        state.list > self.list
     }
 }
 
@@ -60,6 +76,8 @@
     announce_at: Time,
     /// Newer state of other nodes, and when this node first learned of it.
     newer: Option<(Time, SourceState)>,
+    /// When it reads the source itself if it is still behind; meaningless while it is not.
+    behind_read_at: Time,
     random: SmallRng,
 }
 
@@ -75,6 +93,7 @@
             fallback_at: now,
             announce_at: now,
             newer: None,
+            behind_read_at: now,
             random: SmallRng::seed_from_u64(seed),
         };
         watch.record_reader_answer(now);
@@ -149,23 +168,48 @@
 
     /// Handles the state reported by another node.
     pub fn handle_report(&mut self, now: Time, state: SourceState, held: HeldRevisions) {
+        self.forget_if_current(held);
         if !held.is_behind(state) {
             return;
         }
+        if self.newer.is_none() {
+            let position = self.random.random_range(0.0..1.0);
+            self.behind_read_at = now + BEHIND_TIMEOUT + self.behind_spread().scale(position);
+        }
         let (since, before) = self.newer.unwrap_or((now, state));
         self.newer = Some((since, before.merge(state)));
     }
 
+    /// Forgets the newer state of other nodes once this node has it.
+    fn forget_if_current(&mut self, held: HeldRevisions) {
+        self.newer = self.newer.filter(|(_, newer)| held.is_behind(*newer));
+    }
+
+    /// The newer state of other nodes, if this node has been behind for so long that it reads the source itself. It has
+    /// then asked several nodes that have the newer state, and none of them answered. Until it has caught up, further
+    /// reads follow.
+    pub fn take_overdue(&mut self, now: Time) -> Option<SourceState> {
+        let (_, newer) = self.newer?;
+        if now < self.behind_read_at {
+            return None;
+        }
+        self.behind_read_at = now + BEHIND_TIMEOUT + self.behind_spread();
+        Some(newer)
+    }
+
+    /// The time over which the reads of all nodes that are behind are spread, so that their rate at the source does not
+    /// grow with the number of nodes.
+    fn behind_spread(&self) -> Span {
+        Span((self.node_count as f64 / BEHIND_READS_PER_S * 1e6) as u64)
+    }
+
     /// Whether this node should request newer data from another node. A node that watches the source itself
     /// first gives its own watch time to deliver it.
     pub fn should_ask(&mut self, now: Time, held: HeldRevisions, failing: bool) -> bool {
-        let Some((since, state)) = self.newer else {
+        self.forget_if_current(held);
+        let Some((since, _)) = self.newer else {
             return false;
         };
-        if !held.is_behind(state) {
-            self.newer = None;
-            return false;
-        }
         // A node without a target list does not wait for its own read to complete.
         let watches = self.reads(now) && !failing && held.list != Revision(0);
         !watches || now.since(since) >= OWN_WATCH_GRACE
--- a/crates/barleyspool_core/tests/source_reading/main.rs
+++ b/crates/barleyspool_core/tests/source_reading/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
+mod behind;
 mod changes;
 mod fleet;
 mod holder_requests;
--- a/crates/barleyspool_gateway/src/control/peer_sync.rs
+++ b/crates/barleyspool_gateway/src/control/peer_sync.rs
@@ -60,6 +60,7 @@
             cancel_requests(&state, &mut requests, &mut pending);
             continue;
         }
+        state.read_if_overdue();
         if let Some(peer) = start_request(&state, &mut requests) {
             let state = Rc::clone(&state);
             pending.spawn_local(async move {
--- a/crates/barleyspool_gateway/src/control/source_access.rs
+++ b/crates/barleyspool_gateway/src/control/source_access.rs
@@ -26,6 +26,8 @@
     recipients: RefCell<Vec<String>>,
     /// Whether each feed needs a full read.
     needs_full_read: [Cell<bool>; 2],
+    /// Whether each feed is read once because this node has been behind in it for too long.
+    overdue: [Cell<bool>; 2],
     /// Decides when a node without a target list reads it from the source instead of another node.
     initial_list_read: InitialListRead,
     /// The fleet as known to this node, for `initial_list_read`.
@@ -57,6 +59,7 @@
             source_watch: RefCell::new(SourceWatch::new(now, rand::random())),
             recipients: RefCell::default(),
             needs_full_read: [Cell::new(true), Cell::new(true)],
+            overdue: [Cell::new(false), Cell::new(false)],
             initial_list_read: InitialListRead::new(now, rand::random()),
             fleet_view: Cell::new(fleet_view),
             failures: RefCell::default(),
@@ -136,7 +139,8 @@
         let watch = self.source_watch.borrow();
         let reads_as_fallback = !watch.is_reader() && watch.reads(now);
         let reads_as_reader = watch.is_reader() && self.converged.get();
-        reads_as_fallback || reads_as_reader || self.should_read_full(now, feed)
+        let is_overdue = self.overdue[feed as usize].get();
+        reads_as_fallback || reads_as_reader || is_overdue || self.should_read_full(now, feed)
     }
 
     /// Whether this node should make a full read of a feed from the source now.
@@ -174,6 +178,7 @@
                 () = tokio::time::sleep(delay) => {}
             }
         }
+        self.source_access.overdue[feed as usize].set(false);
         waited
     }
 
@@ -347,6 +352,27 @@
             .should_ask(self.now(), held, failing)
     }
 
+    /// Makes this node read from the source what it has been behind in for too long, and cancels its watch, which should have
+    /// delivered it.
+    pub fn read_if_overdue(&self) {
+        let newer = self
+            .source_access
+            .source_watch
+            .borrow_mut()
+            .take_overdue(self.now());
+        let Some(newer) = newer else { return };
+        let held = self.held_revisions();
+        let lacking = [
+            (Feed::Configuration, held.lacks_configuration(newer)),
+            (Feed::Targets, held.lacks_targets(newer)),
+        ];
+        for (feed, _) in lacking.into_iter().filter(|(_, lacks)| *lacks) {
+            self.source_access.overdue[feed as usize].set(true);
+            self.source_access.cancel_watch(feed);
+        }
+        self.source_access.recheck.send_replace(());
+    }
+
     /// Derives the role of this node in reading the source from the current members, and applies it.
     pub fn update_source_role(&self) {
         let membership = self.membership.borrow();
