Newer evacuated zones are learnt from every message of another node

Cause: a message that is no announcement was looked at for a newer configuration or list only, so that newer evacuations alone were learnt from the readers of the own zone alone. The new test covers each kind of data and failed for evacuations before.

--- a/crates/barleyspool_core/src/membership/receive.rs
+++ b/crates/barleyspool_core/src/membership/receive.rs
@@ -55,10 +55,12 @@
         }
     }
 
-    /// Reports the source state of another node if its configuration or list of targets is newer than that of
-    /// this node, or if that node reads the source. Newer evacuations alone are not reported.
+    /// Reports the source state of another node if its configuration, list of targets or evacuated zones are newer than
+    /// those of this node, or if that node reads the source.
     fn report_source(&mut self, source: SourceState, reads: bool) {
-        let newer = source.version > self.source.version || source.list > self.source.list;
+        let newer = source.version > self.source.version
+            || source.list > self.source.list
+            || source.evacuations > self.source.evacuations;
         if newer || reads {
             self.actions.push(MemberAction::SourceReported { source, reads });
         }
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod net;
 mod reach;
+mod source_reports;
 
 use barleyspool_core::{MemberEvent, MemberHealth, Span};
 use net::Net;
