--- a/crates/barleyspool_core/src/forward/feed_cursor.rs
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -11,12 +11,13 @@
 const MAX_RETRY_DELAY: Span = Span::from_millis(1500);
 
 /// Timeout of a short watch (see [`super::source_role`]). Together with [`WATCH_MARGIN`] and the time to read
-/// the feed it stays below the three seconds after which nodes must follow the state of the platform again.
-const SHORT_WATCH_TIMEOUT: Span = Span::from_secs(2);
+/// the feed it stays below the two seconds within which a change must be in force, also where the watches of all
+/// readers were lost.
+const SHORT_WATCH_TIMEOUT: Span = Span::from_secs(1);
 /// Timeout of any other watch. The platform charges per call, so few long watches are cheaper.
 const LONG_WATCH_TIMEOUT: Span = Span::from_secs(20);
 /// Time allowed for the response after the timeout of a watch: a slow platform takes about 250 ms to respond.
-pub const WATCH_MARGIN: Span = Span::from_millis(500);
+pub const WATCH_MARGIN: Span = Span::from_millis(400);
 
 /// How long the platform may hold a watch before it responds without changes.
 pub fn watch_timeout(short: bool) -> Span {
--- a/crates/barleyspool_core/src/forward/source_watch.rs
+++ b/crates/barleyspool_core/src/forward/source_watch.rs
@@ -22,7 +22,7 @@
 const READER_TIMEOUT_JITTER: Span = Span::from_millis(800);
 /// How long a node that watches the source waits for its own watch to deliver what another node already has:
 /// a slow source takes about 250 ms to respond.
-const OWN_WATCH_GRACE: Span = Span::from_millis(400);
+const OWN_WATCH_GRACE: Span = Span::from_millis(300);
 /// How long a node asks others for newer data before it reads the source itself, although announcements of readers still
 /// arrive: four requests without an answer.
 const BEHIND_TIMEOUT: Span = Span::from_millis(600);
--- a/crates/barleyspool_core/tests/source_reading/main.rs
+++ b/crates/barleyspool_core/tests/source_reading/main.rs
@@ -25,7 +25,7 @@
 
 /// Calls to the source at any fleet size: two whole reads by each node at its start, and by each reader when
 /// it starts its watches; after that one answer per change for each reader, and for the two readers with a
-/// short watch timeout one every two seconds and feed.
+/// short watch timeout one a second and feed.
 #[test]
 fn calls_to_the_source_grow_with_changes_and_zones_and_not_with_nodes() {
     const CHANGES: u64 = 10;
--- a/crates/barleyspool_gateway/src/control/peer_sync.rs
+++ b/crates/barleyspool_gateway/src/control/peer_sync.rs
@@ -22,6 +22,8 @@
 /// Interval between checks of whether to request data from another node or to announce this node's state. A
 /// report of newer data triggers a check at once.
 const CHECK_INTERVAL: Span = Span::from_millis(200);
+/// The same while a newer state is known and this node waits for its own watch to deliver it.
+const GRACE_CHECK_INTERVAL: Span = Span::from_millis(50);
 /// Shortest wait between two checks, so that a due request that finds no node to ask causes no busy loop.
 const MIN_CHECK_INTERVAL: Span = Span::from_millis(20);
 /// Timeout of a request.
@@ -58,6 +60,9 @@
         max_wait = CHECK_INTERVAL;
         if !state.should_ask() {
             cancel_requests(&state, &mut requests, &mut pending);
+            if state.behind_ms() > 0 {
+                max_wait = GRACE_CHECK_INTERVAL;
+            }
             continue;
         }
         state.read_if_overdue();
