A node without a target list does not read the whole of it for being behind

Found by reading the change that lets nodes which stay behind read the source: a starting node knows at once that others have a newer list, so that after 0.6 s without an answer it would have read the whole list, 2.2 MB at 6,000 targets, at up to 200 nodes a second. Such a node leaves that to InitialListRead, as before. The new test failed before (15 pages read in place of 10) and passes.

--- a/crates/barleyspool_gateway/src/control/source_access.rs
+++ b/crates/barleyspool_gateway/src/control/source_access.rs
@@ -362,9 +362,11 @@
             .take_overdue(self.now());
         let Some(newer) = newer else { return };
         let held = self.held_revisions();
+        // A node without a list would read the whole of it, which `initial_list_read` limits.
+        let lacks_targets = self.has_target_list.get() && held.lacks_targets(newer);
         let lacking = [
             (Feed::Configuration, held.lacks_configuration(newer)),
-            (Feed::Targets, held.lacks_targets(newer)),
+            (Feed::Targets, lacks_targets),
         ];
         for (feed, _) in lacking.into_iter().filter(|(_, lacks)| *lacks) {
             self.source_access.overdue[feed as usize].set(true);
