A stream goes on only at the software version that began it

Callers saw streams with events of two software versions: a node took a stream that a caller took up for a new call, and nothing knew which version had served the attempt that began it; within one answer the next target was chosen without regard to versions. The class of fault: a property of the first target that later choices have to keep was not part of what is kept of a stream.

Each node reports the streams that it relays to four others, by rendezvous hashing of the id of the call that brought the first event, before that event is passed on; a node at which a stream is taken up asks sixteen others. The version is part of the query for a target, of a request for a placement and of a send by way of a peer, and prefixes are copied between engines of one version only. Where the version cannot be known, or none of its targets accepts work, the call is refused at once as not run (version_unknown, version_gone).

Ruled out: that retries of ours alone are the cause (the recorded stream was taken up by its caller at another node), and that a target under the same address was mistaken for the one before.

--- a/crates/barleyspool_core/src/crashes/call_fingerprint.rs
+++ b/crates/barleyspool_core/src/crashes/call_fingerprint.rs
@@ -1,5 +1,6 @@
 //! The fingerprint that all tries of a call share.
 
+use crate::rendezvous;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -15,14 +16,7 @@
     /// Returns the fingerprint of a call with these parts, in order: what it asks for, its organisation and
     /// its body.
     pub fn of(parts: &[&[u8]]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in parts {
-            // Each part is prefixed with its length, so that different lists of parts never hash alike.
-            hasher.update(&(part.len() as u64).to_le_bytes()).update(part);
-        }
-        let mut bytes = [0; 8];
-        hasher.finalize_xof().fill(&mut bytes);
-        Self(u64::from_le_bytes(bytes))
+        Self(rendezvous::parts_key(parts))
     }
 }
 
--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -1,6 +1,7 @@
 //! Selection of targets for forwarded calls, and the retry budget.
 
 use super::target_choice::unshared_tokens;
+use super::version_history::VersionHistory;
 use super::{
     BrittleTable, Catalog, ForwardPlan, MemberView, RetryWindow, SendEnd, ServiceTargets, SlotLimit,
     TargetChoice, TargetEntry, TargetKey, TargetQuery, TargetRecord, TargetTable,
@@ -8,6 +9,7 @@
 use crate::chart::{Chart, ChartError};
 use crate::{
     IncarnationId, LimitTable, Ownership, Reachability, Span, TARGET_CHART, TargetEvent, TargetPhase, Time,
+    VersionId,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -122,6 +124,7 @@
     /// The calls in progress at brittle targets that this node grants.
     pub(super) slots: HashMap<TargetKey, SlotLimit>,
     pub(super) catalog: Option<Arc<Catalog>>,
+    pub(super) versions: VersionHistory,
     pub(super) random: SmallRng,
     pub(super) chart: Chart<TargetPhase, TargetEvent>,
 }
@@ -157,6 +160,7 @@
             brittle: BrittleTable::default(),
             slots: HashMap::new(),
             catalog: None,
+            versions: VersionHistory::default(),
         })
     }
 
@@ -177,6 +181,9 @@
         self.brittle.merge(&plan.brittle);
         self.update_ownership(plan.created_at);
         self.catalog.clone_from(&plan.catalog);
+        if plan.listed {
+            self.versions.note_list(plan.created_at);
+        }
         if Arc::ptr_eq(&self.table, &plan.targets) {
             // Members change far more often than targets; a change of members should not cost a walk through
             // a large list.
@@ -190,8 +197,10 @@
             .cloned()
             .collect();
         for id in removed {
-            if let Some(key) = self.by_id.remove(&id) {
-                self.targets.remove(key);
+            if let Some(key) = self.by_id.remove(&id)
+                && let Some(record) = self.targets.remove(key)
+            {
+                self.versions.note_gone(plan.created_at, &record.entry);
             }
         }
         for (id, entry) in plan.targets.iter() {
@@ -200,7 +209,7 @@
                 Some(record) if record.entry.incarnation == entry.incarnation => record.entry = entry.clone(),
                 // What was measured of the previous incarnation does not apply to this one; its sends end
                 // without a record.
-                _ => self.insert(entry),
+                _ => self.insert(plan.created_at, entry),
             }
         }
         let targets = &self.targets;
@@ -214,10 +223,12 @@
         }
     }
 
-    fn insert(&mut self, entry: &TargetEntry) {
+    fn insert(&mut self, now: Time, entry: &TargetEntry) {
         let key = self.targets.insert(TargetRecord::new(entry.clone()));
-        if let Some(previous) = self.by_id.insert(entry.id.clone(), key) {
-            self.targets.remove(previous);
+        if let Some(previous) = self.by_id.insert(entry.id.clone(), key)
+            && let Some(record) = self.targets.remove(previous)
+        {
+            self.versions.note_gone(now, &record.entry);
         }
     }
 
@@ -236,6 +247,7 @@
             target: key,
             id: record.entry.id.clone(),
             address: record.entry.address.clone(),
+            version: Some(record.entry.version_id()),
             source: None,
             rate_limited: false,
             brittle: false,
@@ -243,6 +255,12 @@
         })
     }
 
+    /// The only software version that the targets of a service have had for as long as any stream may be taken up; `None`
+    /// if there were several, or if this node has not had a list for so long.
+    pub fn only_version(&self, now: Time, service: &str) -> Option<VersionId> {
+        self.versions.only_version(now, service, &self.table)
+    }
+
     /// The key of the target with this id.
     pub fn key(&self, id: &str) -> Option<TargetKey> {
         self.by_id.get(id).copied()
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -59,6 +59,7 @@
 mod target_reach;
 mod target_record;
 mod target_store;
+mod version_history;
 mod wait_estimate;
 
 pub use brittle_table::BrittleTable;
--- a/crates/barleyspool_core/src/forward/target_choice.rs
+++ b/crates/barleyspool_core/src/forward/target_choice.rs
@@ -54,6 +54,7 @@
         for key in &keys {
             if let Some(record) = self.targets.get_mut(*key)
                 && query.placing.is_none_or(|shard| shard.holds(record.hash))
+                && query.accepts_version(&record.entry)
                 && record.usable(now, &self.chart)
                 && (query.for_other_node || record.cooldown(now) == Span::ZERO)
             {
@@ -192,7 +193,10 @@
         let placed_here = |hash| query.placing.is_none_or(|shard| shard.holds(hash));
         self.working_rate_limits(now, &query.service)
             .any(|(record, rate_limit)| {
-                rate_limit.is_none() && !in_cooldown(record) && placed_here(record.hash)
+                rate_limit.is_none()
+                    && !in_cooldown(record)
+                    && placed_here(record.hash)
+                    && query.accepts_version(&record.entry)
             })
     }
 
@@ -213,6 +217,7 @@
             target,
             id: record.entry.id.clone(),
             address: record.entry.address.clone(),
+            version: Some(record.entry.version_id()),
             source,
             rate_limited,
             brittle: is_brittle && !is_engine,
@@ -345,7 +350,11 @@
         usable: &[TargetKey],
         chosen: TargetKey,
     ) -> Option<String> {
-        let home = self.prefix_home(query.prefix, usable)?;
+        // What engines of two software versions keep in memory does not fit together.
+        let version = &self.targets[chosen].entry.software_version;
+        let fits = |key: &&TargetKey| self.targets[**key].entry.software_version == *version;
+        let usable: Vec<TargetKey> = usable.iter().filter(fits).copied().collect();
+        let home = self.prefix_home(query.prefix, &usable)?;
         let holds = |key: &TargetKey| self.targets[*key].prefixes.holds(now, query.prefix, memory);
         if holds(&chosen) {
             return None;
--- a/crates/barleyspool_core/src/forward/target_cooldown.rs
+++ b/crates/barleyspool_core/src/forward/target_cooldown.rs
@@ -70,7 +70,7 @@
         let keys = self.by_service.get(&query.service).into_iter().flatten();
         let records = keys.filter_map(|key| self.targets.get(*key));
         let cooldowns = records
-            .filter(|record| record.entry.accepts_work())
+            .filter(|record| record.entry.accepts_work() && query.accepts_version(&record.entry))
             .map(|record| record.cooldown(now));
         cooldowns.min().unwrap_or_default()
     }
--- a/crates/barleyspool_core/src/forward/target_entry.rs
+++ b/crates/barleyspool_core/src/forward/target_entry.rs
@@ -1,6 +1,6 @@
 //! Targets as the platform lists them.
 
-use crate::{IncarnationId, Span, Time};
+use crate::{IncarnationId, Span, Time, VersionId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -98,6 +98,11 @@
         IncarnationId::of(&self.id, self.incarnation.0)
     }
 
+    /// The key of its software version.
+    pub fn version_id(&self) -> VersionId {
+        VersionId::of(&self.service, &self.software_version)
+    }
+
     /// Whether new work may be sent to the target. Every decision uses this check, so that a target
     /// taken out of use gets nothing by any path. Its running work ends by itself.
     pub fn accepts_work(&self) -> bool {
--- a/crates/barleyspool_core/src/forward/target_query.rs
+++ b/crates/barleyspool_core/src/forward/target_query.rs
@@ -1,7 +1,7 @@
 //! What a call requires of its target, and the result of the choice.
 
-use super::TargetKey;
-use crate::{Span, rendezvous};
+use super::{TargetEntry, TargetKey};
+use crate::{Span, VersionId, rendezvous};
 
 /// What a call requires of its target.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +24,8 @@
     pub input_bytes: u64,
     /// Targets that have already failed this call.
     pub avoid: Vec<TargetKey>,
+    /// The software version that the target must have, when the call goes on with a stream.
+    pub version: Option<VersionId>,
     /// Whether an engine can copy the shared prefix from another one.
     pub can_copy_prefixes: bool,
     /// How long the call may wait for a rate-limited target.
@@ -35,6 +37,13 @@
     pub for_other_node: bool,
 }
 
+impl TargetQuery {
+    /// Whether a target has the software version that the call needs.
+    pub fn accepts_version(&self, entry: &TargetEntry) -> bool {
+        self.version.is_none_or(|version| version == entry.version_id())
+    }
+}
+
 /// One of `of` disjoint parts of the targets of a service.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shard {
@@ -68,6 +77,8 @@
     pub id: String,
     /// The IP address and port.
     pub address: String,
+    /// Its software version; `None` when another node chose it and did not report the version.
+    pub version: Option<VersionId>,
     /// The address of an engine that most likely holds the shared prefix, if the chosen one does not.
     pub source: Option<String>,
     /// Whether the target has a rate limit. If so, the call may be sent only after the owner of the
--- a/crates/barleyspool_core/src/membership/crash_updates.rs
+++ b/crates/barleyspool_core/src/membership/crash_updates.rs
@@ -8,9 +8,8 @@
 
 use super::round_robin::RoundRobin;
 use super::table::Membership;
-use super::{Member, MemberAction, MemberHealth, MessageKind};
-use crate::{CallFingerprint, CrashKnowledge, CrashTable, CrashUpdate, IncarnationId, Time, rendezvous};
-use std::collections::HashMap;
+use super::{MemberAction, MessageKind};
+use crate::{CallFingerprint, CrashKnowledge, CrashTable, CrashUpdate, IncarnationId, Time};
 
 /// Number of nodes in different zones that collect all reports about a call. Even if the zone of one of them
 /// is lost, and the datagram to a second one as well, the third receives the report.
@@ -94,31 +93,10 @@
     }
 
     fn notify_collectors(&mut self, now: Time, fingerprint: CallFingerprint) {
-        let collectors = self.collectors(fingerprint);
+        let collectors = self.collectors(fingerprint.0, COLLECTORS);
         self.notify_crash(now, fingerprint, collectors);
     }
 
-    /// The nodes that collect all reports about a call: those ranked first by rendezvous hashing, from
-    /// different zones as far as possible.
-    fn collectors(&self, fingerprint: CallFingerprint) -> Vec<String> {
-        let alive = |member: &&Member| matches!(member.health, MemberHealth::Alive | MemberHealth::Suspect);
-        let mut ranked: Vec<&Member> = self.members.values().filter(alive).collect();
-        ranked.sort_unstable_by_key(|member| rendezvous::order(member.key, fingerprint.0));
-        let mut in_zone: HashMap<&str, u32> = HashMap::new();
-        let mut by_round: Vec<(u32, &Member)> = Vec::new();
-        for member in ranked {
-            let zone_rank = in_zone.entry(&member.facts.zone).or_default();
-            by_round.push((*zone_rank, member));
-            *zone_rank += 1;
-        }
-        // The sort is stable: within each pass through the zones the nodes stay in the order of their rank.
-        by_round.sort_by_key(|(round, _)| *round);
-        let collectors = by_round.into_iter().take(COLLECTORS);
-        collectors
-            .map(|(_, member)| member.facts.address.clone())
-            .collect()
-    }
-
     fn notify_crash(&mut self, now: Time, fingerprint: CallFingerprint, nodes: Vec<String>) {
         let Some(update) = self.crashes.table.update_of(now, fingerprint) else {
             return;
--- a/crates/barleyspool_core/src/membership/event.rs
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -1,7 +1,7 @@
 //! Events and actions of a membership table.
 
 use super::{Evidence, MemberHealth, MemberMessage, SourceState};
-use crate::{CallFingerprint, IncarnationId, ServiceSet};
+use crate::{CallFingerprint, IncarnationId, ServiceSet, StreamId, StreamRecord};
 
 /// An event that the table handles.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +49,11 @@
     },
     /// The services of which this node reaches no target.
     Unreached(ServiceSet),
+    /// This node relays a stream, which this version began.
+    Stream(StreamRecord),
+    /// A caller takes up a stream here. [`MemberAction::StreamFound`] or [`MemberAction::StreamUnknown`] follows, unless
+    /// the nodes that were asked do not answer.
+    FindStream(StreamId),
     /// A planned stop of this node begins.
     Leave,
     /// The settings have new seeds.
@@ -85,6 +90,10 @@
     BrittleChanged,
     /// The services that a node, possibly this one, does not reach have changed.
     ReachChanged,
+    /// What is known of a stream that was looked for.
+    StreamFound(StreamRecord),
+    /// No node that was asked for a stream knows it.
+    StreamUnknown(StreamId),
     /// The number of nodes that this one reaches has changed.
     ReachabilityChanged,
     /// A node joined, or its health or whether it serves has changed.
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -1,7 +1,7 @@
 //! Membership messages between nodes.
 
 use super::{BrittleUpdate, MemberFacts, MemberHealth, ReachUpdate, SourceState};
-use crate::{CrashUpdate, Incarnation, LeavingUpdate, LimitUpdate};
+use crate::{CrashUpdate, Incarnation, LeavingUpdate, LimitUpdate, StreamId, StreamRecord};
 use serde::{Deserialize, Serialize};
 
 /// What a node knows about another node, or publishes about itself.
@@ -71,6 +71,23 @@
         /// The reports.
         updates: Vec<BrittleUpdate>,
     },
+    /// Streams that nodes relay, with the versions that began them.
+    Streams {
+        /// The streams.
+        records: Vec<StreamRecord>,
+    },
+    /// Requests the version that began a stream.
+    StreamQuery {
+        /// The stream.
+        stream: StreamId,
+    },
+    /// The reply to a `StreamQuery`.
+    StreamAnswer {
+        /// The stream.
+        stream: StreamId,
+        /// What the sender knows of it.
+        record: Option<StreamRecord>,
+    },
     /// Carries only updates.
     Update,
     /// The sender reads the source and announces its state.
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -8,6 +8,7 @@
 
 mod brittle_updates;
 mod catch_up;
+mod collectors;
 mod crash_updates;
 mod event;
 mod leaving_updates;
@@ -20,6 +21,7 @@
 mod receive;
 mod round_robin;
 mod settings;
+mod stream_updates;
 mod table;
 mod update_queue;
 
--- a/crates/barleyspool_core/src/membership/receive.rs
+++ b/crates/barleyspool_core/src/membership/receive.rs
@@ -25,6 +25,10 @@
                 MessageKind::Leaving { updates } => self.apply_leaving(now, updates),
                 MessageKind::Reach { updates } => self.apply_reach(now, updates),
                 MessageKind::Brittle { updates } => self.apply_brittle(now, updates),
+                MessageKind::Streams { records } => self.apply_streams(now, records),
+                MessageKind::StreamAnswer { stream, record } => {
+                    self.handle_stream_answer(now, from, *stream, *record);
+                }
                 _ => {}
             }
             self.report_source(message.source, message.kind == MessageKind::Announce);
@@ -46,10 +50,13 @@
                 self.share_brittle(now, from);
             }
             MessageKind::JoinReply { members } => self.handle_join_reply(from, members),
+            MessageKind::StreamQuery { stream } => self.answer_stream_query(now, from, stream),
             MessageKind::Limits { .. }
             | MessageKind::Leaving { .. }
             | MessageKind::Reach { .. }
             | MessageKind::Brittle { .. }
+            | MessageKind::Streams { .. }
+            | MessageKind::StreamAnswer { .. }
             | MessageKind::Update
             | MessageKind::Announce => {}
         }
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -6,6 +6,7 @@
 use super::leaving_updates::Leaving;
 use super::limit_updates::Limits;
 use super::reach_updates::Reach;
+use super::stream_updates::Streams;
 use super::update_queue::UpdateQueue;
 use super::{
     Member, MemberAction, MemberCounts, MemberEvent, MemberFacts, MemberHealth, MemberMessage, MemberUpdate,
@@ -47,6 +48,7 @@
     pub(super) leaving: Leaving,
     pub(super) reach: Reach,
     pub(super) brittle: Brittle,
+    pub(super) streams: Streams,
     pub(super) reachability: Reachability,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) probe_order: VecDeque<String>,
@@ -80,6 +82,7 @@
             leaving: Leaving::default(),
             reach: Reach::default(),
             brittle: Brittle::default(),
+            streams: Streams::default(),
             reachability: Reachability::default(),
             members: BTreeMap::new(),
             probes: HashMap::new(),
@@ -115,6 +118,8 @@
                 self.handle_brittle(now, &service, refusals);
             }
             MemberEvent::Unreached(services) => self.set_unreached(now, services),
+            MemberEvent::Stream(record) => self.handle_stream(now, record),
+            MemberEvent::FindStream(stream) => self.find_stream(now, stream),
             MemberEvent::Leave => self.leave(),
             MemberEvent::Seeds(seeds) => self.settings.seeds = seeds,
         }
--- a/crates/barleyspool_core/src/outcome.rs
+++ b/crates/barleyspool_core/src/outcome.rs
@@ -129,6 +129,10 @@
     /// All targets that accept work have requested a cooldown from this node.
     #[serde(rename = "TargetsRest")]
     TargetsCoolingDown => "targets_rest",
+    /// No node knows which software version began the stream that the call takes up.
+    VersionUnknown => "version_unknown",
+    /// No target of the software version that began the stream accepts work.
+    VersionGone => "version_gone",
     /// Targets have crashed while processing this call.
     #[serde(rename = "EndsTargets")]
     CrashesTargets => "ends_targets",
--- a/crates/barleyspool_core/src/rendezvous.rs
+++ b/crates/barleyspool_core/src/rendezvous.rs
@@ -66,3 +66,15 @@
         .fill(&mut bytes);
     u128::from_le_bytes(bytes)
 }
+
+/// Hashes a list of texts to a 64-bit key. Lists that differ in any part, or in where the parts are divided, have different
+/// keys.
+pub fn parts_key(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes()).update(part);
+    }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -8,6 +8,7 @@
 mod net;
 mod reach;
 mod source_reports;
+mod streams;
 
 use barleyspool_core::{MemberEvent, MemberHealth, Span};
 use net::Net;
--- a/crates/barleyspool_core/tests/membership/net.rs
+++ b/crates/barleyspool_core/tests/membership/net.rs
@@ -2,7 +2,7 @@
 
 use barleyspool_core::{
     Incarnation, MemberAction, MemberEvent, MemberFacts, MemberHealth, MemberMessage, Membership,
-    MembershipSettings, SourceState, Span, Time,
+    MembershipSettings, SourceState, Span, StreamId, Time, VersionId,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,6 +26,8 @@
     /// Reported source states: the node that emitted the action, the state, and whether its sender reads
     /// the source.
     pub source_reports: Vec<(String, SourceState, bool)>,
+    /// Answers to requests for streams: the node that requested, the stream and its version.
+    pub stream_answers: Vec<(String, StreamId, Option<VersionId>)>,
 }
 
 impl Net {
@@ -42,6 +44,7 @@
             by_sender: BTreeMap::new(),
             changes: BTreeMap::new(),
             source_reports: Vec::new(),
+            stream_answers: Vec::new(),
         }
     }
 
@@ -89,6 +92,15 @@
                 | MemberAction::BrittleChanged => {
                     continue;
                 }
+                MemberAction::StreamFound(record) => {
+                    self.stream_answers
+                        .push((from.to_owned(), record.stream, record.version));
+                    continue;
+                }
+                MemberAction::StreamUnknown(stream) => {
+                    self.stream_answers.push((from.to_owned(), stream, None));
+                    continue;
+                }
                 MemberAction::Changed { .. } => {
                     *self.changes.entry(from.to_owned()).or_default() += 1;
                     continue;
--- a/crates/barleyspool_gateway/src/control/members.rs
+++ b/crates/barleyspool_gateway/src/control/members.rs
@@ -70,6 +70,7 @@
                 MemberEvent::BrittleReported { service, refusals }
             }
             TargetObservation::Unreached(services) => MemberEvent::Unreached(services),
+            TargetObservation::Stream(record) => MemberEvent::Stream(record),
         });
     }
 }
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -10,11 +10,12 @@
 mod source_changes;
 mod state;
 mod stop;
+mod stream_queries;
 
 use crate::adapters::{DirectoryAdapter, Feed, Source};
 use crate::event_log::LogEvent;
 use crate::metrics::Metrics;
-use crate::shared::TargetObservation;
+use crate::shared::{StreamQuery, TargetObservation};
 use barleyspool_wire::process::{EssentialTasks, Signals};
 use barleyspool_wire::{monotonic_time, time_since_boot, timer};
 pub use state::ControlState;
@@ -49,11 +50,15 @@
     settings_file: PathBuf,
     ports: ControlPorts,
     metrics: Metrics,
-    observations: mpsc::UnboundedReceiver<TargetObservation>,
+    (observations, stream_queries): (
+        mpsc::UnboundedReceiver<TargetObservation>,
+        mpsc::UnboundedReceiver<StreamQuery>,
+    ),
 ) {
     let state = Rc::new(state);
     let mut tasks = EssentialTasks::default();
     tasks.spawn_local(members::apply_observations(Rc::clone(&state), observations));
+    tasks.spawn_local(stream_queries::serve(Rc::clone(&state), stream_queries));
     tasks.spawn_local(members::run(Rc::clone(&state), ports.members));
     for feed in [Feed::Configuration, Feed::Targets] {
         tasks.spawn_local(feed_reader::run(Rc::clone(&state), Rc::clone(&source), feed));
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -1,6 +1,7 @@
 //! The state of the control thread, and the plan for the traffic thread that is derived from it.
 
 use super::source_access::SourceAccess;
+use super::stream_queries::StreamWaiters;
 use crate::event_log::{EventLog, LogEvent};
 use crate::shared::Shared;
 use barleyspool_core::{
@@ -69,6 +70,8 @@
     pub source_access: SourceAccess,
     /// The target list, encoded for transfers to other nodes, with its revision.
     pub packed_list: RefCell<Option<(Revision, ByteBuf)>>,
+    /// Requests for streams that wait for answers of other nodes.
+    pub stream_waiters: StreamWaiters,
     /// Active transfers of full lists to other nodes.
     pub list_transfers: RefCell<ListTransfers>,
     /// Whether the known members most likely include all nodes of the fleet.
@@ -116,6 +119,7 @@
             members_changed: Notify::new(),
             source_access,
             packed_list: RefCell::default(),
+            stream_waiters: StreamWaiters::default(),
             list_transfers: RefCell::new(list_transfers),
             converged: Cell::new(false),
             abort_at: Cell::new(None),
@@ -160,6 +164,10 @@
                 MemberAction::Send { .. } => self.outbox.borrow_mut().push(action),
                 MemberAction::SourceReported { source, reads } => self.handle_source_report(source, reads),
                 MemberAction::BlockedCallsChanged => self.publish_blocked_calls(now),
+                MemberAction::StreamFound(record) => {
+                    self.stream_waiters.answer(record.stream, record.version);
+                }
+                MemberAction::StreamUnknown(stream) => self.stream_waiters.answer(stream, None),
                 MemberAction::TargetLeaves { incarnation } => leaving_incarnations.push(incarnation),
                 MemberAction::ReachabilityChanged
                 | MemberAction::ReachChanged
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -346,6 +346,18 @@
         /// The version of the configuration.
         version: u64,
     },
+    /// A call takes up a stream of an earlier call.
+    #[serde(rename = "taken_up")]
+    StreamTakenUp {
+        /// The call's id.
+        id: &'a str,
+        /// The id of the call that brought the first event; empty if the caller does not name it.
+        stream: &'a str,
+        /// Whether the software version that began the stream is known.
+        known: bool,
+        /// The service in which the stream goes on; empty if no target of that version accepts work.
+        service: &'a str,
+    },
     /// A call was refused because it would miss its objective or its deadline.
     #[serde(rename = "refused")]
     CallRefused {
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -116,6 +116,7 @@
         let (traffic_shared, traffic_adapters, traffic_logger) =
             (Arc::clone(&shared), adapters.clone(), Arc::clone(&logger));
         let (observation_sender, observation_receiver) = mpsc::unbounded_channel();
+        let (stream_sender, stream_receiver) = mpsc::unbounded_channel();
         let mut threads = Threads::default();
         let traffic = move || {
             let log = event_log(&traffic_shared, traffic_logger);
@@ -130,7 +131,7 @@
                 forwarder,
                 log,
                 ports,
-                observation_sender,
+                (observation_sender, stream_sender),
             );
             LocalSet::new().block_on(&traffic_runtime, work);
         };
@@ -152,7 +153,7 @@
                 file,
                 ports,
                 metrics,
-                observation_receiver,
+                (observation_receiver, stream_receiver),
             );
             LocalSet::new().block_on(&control_runtime, work);
         };
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -3,12 +3,13 @@
 use crate::settings::GatewaySettings;
 use arc_swap::ArcSwap;
 use barleyspool_core::{
-    BlockedCalls, CallFingerprint, Counters, ForwardPlan, IncarnationId, ServiceSet, StopPhase,
+    BlockedCalls, CallFingerprint, Counters, ForwardPlan, IncarnationId, ServiceSet, StopPhase, StreamId,
+    StreamRecord, VersionId,
 };
 use barleyspool_wire::Clock;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 /// What the traffic thread observed of a target, or of the links to targets. It is sent to the control thread, which passes
 /// it on to other nodes.
@@ -42,6 +43,17 @@
     },
     /// The services of which this node reaches no target have changed to these.
     Unreached(ServiceSet),
+    /// The software version of a target whose stream this node relays.
+    Stream(StreamRecord),
+}
+
+/// A request of the traffic thread for the software version that began a stream.
+#[derive(Debug)]
+pub struct StreamQuery {
+    /// The stream.
+    pub stream: StreamId,
+    /// Receives the version; `None` if it is unknown.
+    pub reply: oneshot::Sender<Option<VersionId>>,
 }
 
 /// The state that the threads of a gateway share.
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -13,6 +13,7 @@
 use super::stages;
 use super::starting;
 use super::stopping;
+use super::stream_origins::{self, StreamOrigin, StreamVersion};
 use super::target_choice::{self, ReservedTarget};
 use crate::failure::CallFailure;
 use barleyspool_core::{
@@ -66,6 +67,8 @@
     /// Counts the bytes of its body as held memory until the call is dropped.
     #[allow(dead_code, reason = "kept for its drop")]
     held: HeldBytes,
+    /// The software version at which its stream goes on.
+    pub stream_version: StreamVersion,
     /// The sends to targets so far and their outcomes.
     pub history: Cell<SendHistory>,
     /// Whether a send is in progress of which some bytes may have been written.
@@ -124,22 +127,33 @@
         (Ok(accepted), Ok(body)) => (accepted, body),
         (Err(failure), _) | (_, Err(failure)) => return fail(&traffic, guard, &failure),
     };
-    let call = build(&traffic, accepted, parts, body, arrived);
+    let origin = match stream_origins::find(&traffic, &accepted).await {
+        Ok(origin) => origin,
+        Err(failure) => return fail(&traffic, guard, &failure),
+    };
+    let call = build(&traffic, accepted, parts, body, (arrived, origin));
     let id = CallId(call.head.id.clone());
     let mut answer = run(call, guard).await;
     answer.extensions_mut().insert(id);
     answer
 }
 
-/// Builds the call with this header and body.
+/// Builds the call with this header and body. `origin` is where the stream that it takes up has to go on.
 pub fn build(
     traffic: &Rc<Traffic>,
     accepted: AcceptedHeader,
     parts: Parts,
     body: Bytes,
-    arrived: Time,
+    (arrived, origin): (Time, Option<StreamOrigin>),
 ) -> Call {
-    let service = pick_share(&accepted.route);
+    let stream_version = StreamVersion::default();
+    let service = match origin {
+        Some(origin) => {
+            stream_version.bind(origin.version);
+            origin.service
+        }
+        None => pick_share(&accepted.route),
+    };
     let engine = accepted
         .catalog
         .service(&service)
@@ -161,6 +175,7 @@
         headers: parts.headers,
         held: HeldBytes::new(traffic, body.len()),
         body,
+        stream_version,
         history: Cell::default(),
         sending: Cell::new(false),
         reserved: RefCell::default(),
@@ -304,6 +319,7 @@
             zone: self.input_zone.borrow().clone(),
             input_bytes: self.input_bytes(),
             avoid: self.failed_targets.borrow().clone(),
+            version: self.stream_version.get(),
             can_copy_prefixes: self.can_copy_prefixes,
             // The wait for capacity of a rate-limited target, not the time limit of the caller.
             max_wait: Span::ZERO,
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 mod stages;
 mod starting;
 mod stopping;
+mod stream_origins;
 mod stream_relay;
 mod target_choice;
 mod target_crashes;
@@ -35,7 +36,7 @@
 
 use crate::adapters::Adapters;
 use crate::event_log::EventLog;
-use crate::shared::{Shared, TargetObservation};
+use crate::shared::{Shared, StreamQuery, TargetObservation};
 use barleyspool_core::{Counter, Counters, ForecastCorrection, ForwardPlan, Forwarder, Time};
 use barleyspool_wire::process::EssentialTasks;
 use connections::Connections;
@@ -49,6 +50,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use stream_origins::StreamOrigins;
 use target_crashes::TargetCrashes;
 use target_reports::TargetReports;
 use tokio::net::TcpListener;
@@ -91,6 +93,8 @@
     pub crashes: TargetCrashes,
     /// The reports of targets in the headers of their answers.
     pub reports: TargetReports,
+    /// The software versions of streams.
+    pub streams: StreamOrigins,
     /// Which services this node reaches over its own links.
     pub reach: ReachChecks,
     /// The number of calls that this node sends for other nodes now.
@@ -134,6 +138,9 @@
                 pool.hand_over(!self.reach.is_unreached(&id.service));
             }
         }
+        if !Arc::ptr_eq(&before.targets, &plan.targets) {
+            self.streams.apply_plan(self.now(), &plan);
+        }
         self.plan_applied.notify_waiters();
     }
 }
@@ -156,7 +163,10 @@
     forwarder: Forwarder,
     log: EventLog,
     ports: TrafficPorts,
-    observations: mpsc::UnboundedSender<TargetObservation>,
+    (observations, stream_queries): (
+        mpsc::UnboundedSender<TargetObservation>,
+        mpsc::UnboundedSender<StreamQuery>,
+    ),
 ) {
     let traffic = Rc::new(Traffic {
         shared,
@@ -175,6 +185,7 @@
         forecast_correction: RefCell::default(),
         crashes: TargetCrashes::new(observations.clone()),
         reports: TargetReports::new(observations.clone()),
+        streams: StreamOrigins::new(observations.clone(), stream_queries),
         reach: ReachChecks::new(observations),
         peer_sends: Cell::new(0),
     });
--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -10,7 +10,7 @@
 use super::final_send::{self, TargetAnswer};
 use super::send_guard::SendGuard;
 use super::target_reports::{self, SentRequest};
-use barleyspool_core::{Counter, MemberView, Reason, Route, SendEnd, Span};
+use barleyspool_core::{Counter, MemberView, Reason, Route, SendEnd, Span, VersionId};
 use barleyspool_wire::timer;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,6 +27,8 @@
 /// The header with the id of the target that answered. Only answers of targets have it; other answers hold a
 /// [`PeerSendFailure`].
 pub const TARGET_HEADER: HeaderName = HeaderName::from_static("peer-send-target");
+/// The header with the key of that target's software version, in decimal.
+pub const VERSION_HEADER: HeaderName = HeaderName::from_static("peer-send-version");
 /// Largest body of a [`PeerSendFailure`], in bytes.
 const MAX_FAILURE_BYTES: usize = 4096;
 
@@ -55,6 +57,8 @@
     pub inputs: Vec<String>,
     /// The number of the last event that the caller received, when a stream is resumed.
     pub resume_after: Option<u64>,
+    /// The software version that its target must have, when it goes on with a stream.
+    pub version: Option<VersionId>,
     /// The ids of targets that have already failed it.
     pub excluded_targets: Vec<String>,
 }
@@ -132,6 +136,9 @@
     note_target(call, send, &target);
     let (mut parts, body) = response.into_parts();
     parts.headers.remove(&TARGET_HEADER);
+    let version = parts.headers.remove(&VERSION_HEADER);
+    let version = version.as_ref().and_then(|version| version.to_str().ok());
+    send.chosen.version = version.and_then(|version| version.parse().ok().map(VersionId));
     let sent_request = SentRequest {
         target: &target,
         call: &call.head.id,
@@ -204,6 +211,7 @@
         body: ByteBuf::from(call.body.as_ref()),
         inputs: inputs.to_vec(),
         resume_after,
+        version: call.stream_version.get(),
         excluded_targets: failed.map(|record| record.entry.id.clone()).collect(),
     };
     let body = rmp_serde::to_vec(&send).ok()?;
--- a/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
@@ -6,11 +6,12 @@
 use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::final_send::{self, TargetAnswer};
-use super::peer_send::{PeerSend, PeerSendFailure, SEND_PATH, TARGET_HEADER};
+use super::peer_send::{PeerSend, PeerSendFailure, SEND_PATH, TARGET_HEADER, VERSION_HEADER};
 use super::read_call::AcceptedHeader;
 use super::send_guard::SendGuard;
 use super::stage_results::StageResults;
 use super::stopping;
+use super::stream_origins::StreamOrigin;
 use super::target_choice;
 use super::target_crashes;
 use crate::failure::CallFailure;
@@ -153,6 +154,10 @@
         request = request.header(name.as_str(), HeaderValue::from_bytes(value).ok()?);
     }
     let (parts, ()) = request.body(()).ok()?.into_parts();
+    let origin = send.version.map(|version| StreamOrigin {
+        service: send.service.clone(),
+        version,
+    });
     let mut route = send.route;
     route.shares = vec![TrafficShare {
         service: send.service,
@@ -172,7 +177,7 @@
         accepted,
         parts,
         Bytes::from(send.body.into_vec()),
-        arrived,
+        (arrived, origin),
     );
     call.deadline = call.deadline.min(arrived + send.time_left);
     call.for_peer = true;
@@ -195,7 +200,7 @@
     let chosen = target_choice::choose(call).await.map_err(refused)?;
     let mut send = SendGuard::begin(call, chosen);
     final_send::log_sent(call, &send.chosen, &inputs, "for_peer");
-    let target = send.chosen.id.clone();
+    let (target, version) = (send.chosen.id.clone(), send.chosen.version);
     let mut response = match final_send::send_once(call, &mut send, &inputs, resume_after).await {
         Ok(TargetAnswer::Stream(parts, body, connection, head)) => {
             let stream = (parts, body, connection, head);
@@ -217,5 +222,10 @@
     if let Ok(target) = HeaderValue::from_str(&target) {
         response.headers_mut().insert(TARGET_HEADER, target);
     }
+    if let Some(version) = version {
+        response
+            .headers_mut()
+            .insert(VERSION_HEADER, HeaderValue::from(version.0));
+    }
     Ok(response)
 }
--- a/crates/barleyspool_gateway/src/traffic/read_call.rs
+++ b/crates/barleyspool_gateway/src/traffic/read_call.rs
@@ -81,15 +81,20 @@
 /// The refusal of a call whose route or key is not in the configuration. Callers take it as final, so a node that may not
 /// have the latest configuration only says that the call has not run.
 fn unknown(traffic: &Traffic, catalog: &Catalog, reason: Reason) -> CallFailure {
-    let shared = &traffic.shared;
-    let is_behind = shared.reported_version.load(Ordering::Relaxed) > catalog.version().0;
-    let answered = Time(shared.source_answered_at.load(Ordering::Relaxed));
-    if is_behind || traffic.now().since(answered) > MAX_SOURCE_SILENCE {
+    if may_be_behind(traffic, catalog) {
         return CallFailure::not_run(Reason::ConfigurationBehind).with_retry_after(BEHIND_RETRY_AFTER);
     }
     CallFailure::not_run(reason)
 }
 
+/// Whether there may be a newer configuration, or newer targets, than those of this node.
+pub fn may_be_behind(traffic: &Traffic, catalog: &Catalog) -> bool {
+    let shared = &traffic.shared;
+    let is_behind = shared.reported_version.load(Ordering::Relaxed) > catalog.version().0;
+    let answered = Time(shared.source_answered_at.load(Ordering::Relaxed));
+    is_behind || traffic.now().since(answered) > MAX_SOURCE_SILENCE
+}
+
 /// Reads the body of a call, within the time and size limits of the configuration.
 pub async fn read_body(
     traffic: &Traffic,
--- a/crates/barleyspool_gateway/src/traffic/send_guard.rs
+++ b/crates/barleyspool_gateway/src/traffic/send_guard.rs
@@ -45,6 +45,7 @@
             target: TargetKey::default(),
             id: peer.to_owned(),
             address: peer.to_owned(),
+            version: None,
             source: None,
             rate_limited: false,
             brittle: false,
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -166,6 +166,12 @@
         let Some(data) = relayed.next_output(data, resumable) else {
             continue;
         };
+        if resumable {
+            relay
+                .call
+                .stream_version
+                .record_event(&relay.call, &relay.send.chosen);
+        }
         let sent = tokio::select! {
             biased;
             sent = sender.send(RelayItem::Part(data)) => sent,
@@ -202,7 +208,10 @@
             call.history.get(),
             end,
         );
-        if step != NextStep::Retry || !final_send::allow_retry(&call, end) {
+        if step != NextStep::Retry
+            || !call.stream_version.may_resume(&call, &relay.send.chosen)
+            || !final_send::allow_retry(&call, end)
+        {
             return false;
         }
         call.failed_targets.borrow_mut().push(relay.send.chosen.target);
--- a/crates/barleyspool_wire/src/pieces.rs
+++ b/crates/barleyspool_wire/src/pieces.rs
@@ -12,7 +12,7 @@
 
 use crate::net;
 use crate::peer::{self, PeerTransport};
-use barleyspool_core::{Grant, OrderOutcome, PieceOrder, Span};
+use barleyspool_core::{Grant, OrderOutcome, PieceOrder, Span, VersionId};
 use std::io;
 use tarpc::serde::{Deserialize, Serialize};
 use tarpc::{ClientMessage, Response};
@@ -77,6 +77,8 @@
     pub route: String,
     /// The memory of one engine, in tokens.
     pub engine_memory: u64,
+    /// The software version that the engine must have, when the call goes on with a stream.
+    pub version: Option<VersionId>,
     /// The hash of the shared prefix of the prompt; zero for none.
     pub prefix: u64,
     /// The number of tokens of the shared prefix.
