Log the shared parts of the prompts of calls under which targets crash

Calls without a fingerprint in common crashed one engine after the other. Whether their prompts have a part in common could not be told: no line named parts.

--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -214,6 +214,8 @@
         /// The fingerprint of the call, equal for all its tries.
         #[serde(rename = "print", serialize_with = "as_text")]
         fingerprint: CallFingerprint,
+        /// The ids of the parts of its prompt that other calls may share, in hexadecimal, separated by commas.
+        parts: &'a str,
         /// Whether the crash counts against the call; it does not if a target answered the same call recently.
         #[serde(rename = "counts")]
         counts_against_call: bool,
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -239,7 +239,7 @@
     let requests = call
         .pieces
         .iter()
-        .map(|piece| (piece.request.as_str(), piece.fingerprint));
+        .map(|piece| (piece.request.as_str(), piece.fingerprint, ""));
     for request in requests.collect::<HashSet<_>>() {
         traffic.crashes.record_crash(traffic, &call.id, request);
     }
--- a/crates/barleyspool_gateway/src/traffic/target_crashes.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_crashes.rs
@@ -73,7 +73,13 @@
 
     /// Records that a target crashed while it processed a call or a piece of one. It is passed on to the
     /// control thread unless a target has answered the call before.
-    pub fn record_crash(&self, traffic: &Traffic, target: &str, (id, fingerprint): (&str, CallFingerprint)) {
+    /// `parts` are the shared parts of its prompt, for the log.
+    pub fn record_crash(
+        &self,
+        traffic: &Traffic,
+        target: &str,
+        (id, fingerprint, parts): (&str, CallFingerprint, &str),
+    ) {
         let now = traffic.now();
         traffic.count(Counter::TargetCrashed);
         let counts_against_call = !self.answered_calls.borrow_mut().contains(now, fingerprint);
@@ -81,6 +87,7 @@
             target,
             id,
             fingerprint,
+            parts,
             counts_against_call,
         };
         traffic.log.write(now, &line);
@@ -122,13 +129,13 @@
     }
     // Moves only the fields it needs: the call would keep its body in memory meanwhile.
     let (traffic, id, fingerprint) = (Rc::clone(&call.traffic), call.head.id.clone(), call.fingerprint);
-    let chosen = chosen.clone();
+    let (chosen, parts) = (chosen.clone(), call.head.shared_parts_text());
     spawn_local(async move {
         let crashed = traffic.crashes.has_crashed(&traffic, &chosen.id, &chosen.address);
         if crashed.await {
             traffic
                 .crashes
-                .record_crash(&traffic, &chosen.id, (&id, fingerprint));
+                .record_crash(&traffic, &chosen.id, (&id, fingerprint, &parts));
         }
     });
 }
