--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -1,5 +1,6 @@
 //! Tests of membership tables over a simulated network with loss, partitions and latency.
 
+mod blocked_calls;
 mod brittle;
 mod crashes;
 mod gossip;
