--- a/crates/barleyspool_core/src/crashes/answered_calls.rs
+++ b/crates/barleyspool_core/src/crashes/answered_calls.rs
@@ -1,44 +1,44 @@
 //! Calls that targets have answered lately, which therefore do not crash targets.
 
-use super::CallFingerprint;
+use super::Suspect;
 use crate::{Span, Time};
-use std::collections::HashSet;
+use std::collections::HashMap;
 
-/// Time for which an answered call is remembered at least, unless more than [`MAX_CALLS`] calls are answered
-/// within it.
+/// Time for which an answered call is remembered at least, unless more than [`MAX_SUSPECTS`] are answered within it.
 const RETENTION: Span = Span::from_secs(60);
-/// Maximum number of calls in each of the two sets, 8 bytes each: 68 calls a second at one node, four times
-/// its share of 6,600 calls a second in front of 410 nodes. Above that rate the oldest calls are dropped
-/// earlier.
-const MAX_CALLS: usize = 4096;
+/// Maximum number of calls and parts of prompts in each of the two maps, some 30 bytes each: 68 calls a second at one node,
+/// each with three new parts, which is four times its share of 6,600 calls a second in front of 410 nodes. Above that rate
+/// the oldest ones are dropped earlier.
+const MAX_SUSPECTS: usize = 16_384;
 
-/// Calls that targets have answered lately, by fingerprint.
+/// Calls and parts of prompts that targets have answered lately, with the time of the last answer.
 ///
-/// Where many callers send the same call, some of these calls are running at any target that crashes. The
-/// answers to the others distinguish them from a call that crashes targets.
+/// Where many callers send the same call, or prompts with the same part, some of these calls are running at any target that
+/// crashes. The answers to the others distinguish them from what crashes targets.
 #[derive(Clone, Debug, Default)]
 pub struct AnsweredCalls {
-    newer: HashSet<CallFingerprint>,
-    older: HashSet<CallFingerprint>,
+    newer: HashMap<Suspect, Time>,
+    older: HashMap<Suspect, Time>,
     rotated_at: Time,
 }
 
 impl AnsweredCalls {
-    /// Records that a target gave a call a complete answer, successful or not.
-    pub fn insert(&mut self, now: Time, fingerprint: CallFingerprint) {
+    /// Records that a target has given a call a complete answer and has not crashed.
+    pub fn insert(&mut self, now: Time, suspect: Suspect) {
         self.rotate(now);
-        self.newer.insert(fingerprint);
+        self.newer.insert(suspect, now);
     }
 
-    /// Whether the call was answered lately.
-    pub fn contains(&mut self, now: Time, fingerprint: CallFingerprint) -> bool {
+    /// When a call with the suspect was last answered; `None` if it was not lately.
+    pub fn answered_at(&mut self, now: Time, suspect: Suspect) -> Option<Time> {
         self.rotate(now);
-        self.newer.contains(&fingerprint) || self.older.contains(&fingerprint)
+        let answered = self.newer.get(&suspect).or_else(|| self.older.get(&suspect));
+        answered.copied()
     }
 
     fn rotate(&mut self, now: Time) {
         let old = now.since(self.rotated_at) >= RETENTION;
-        if old || self.newer.len() >= MAX_CALLS {
+        if old || self.newer.len() >= MAX_SUSPECTS {
             let stale = now.since(self.rotated_at) >= RETENTION + RETENTION;
             self.older = std::mem::take(&mut self.newer);
             if stale {
--- a/crates/barleyspool_core/src/crashes/crash_table.rs
+++ b/crates/barleyspool_core/src/crashes/crash_table.rs
@@ -1,41 +1,17 @@
-//! The calls during which targets crashed, and which of them are blocked.
+//! The suspects of crashes, and which of them are blocked.
 
-use super::CallFingerprint;
+use super::block_policy::BlockPolicy;
+use super::crash_record::{Crash, CrashRecord};
+use super::{BlockedCalls, Suspect, SuspectView};
 use crate::{Span, Time, rendezvous};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
-/// Number of crashes from which on a call is blocked.
-///
-/// A target may crash during any call by chance, since up to 64 other calls are running there, and some
-/// calls that are retried meet the next target that crashes. But each crash costs all the calls at that
-/// target, its memory and seconds of its work, and a call that has failed twice has little time left. The
-/// rules of the deployments allow three crashes.
-const BLOCKED_FROM: usize = 2;
-/// How long a call is blocked after [`BLOCKED_FROM`] crashes, and after each further one.
-///
-/// The times balance two errors. A call that was at two crashing targets by chance is told to retry after 5
-/// s, and is then served; that is long compared to the second within which calls that crash targets are
-/// sent again. A call that crashes every target and is sent again and again causes five crashes within a
-/// quarter of an hour, and one a day after that: it must not be tried before the targets may have been
-/// repaired, and the rules allow three crashes after the third.
-const BLOCK_TIMES: [Span; 4] = [
-    Span::from_secs(5),
-    Span::from_secs(60),
-    Span::from_secs(12 * 60),
-    Span::from_secs(24 * 3600),
-];
-/// Maximum number of crashes recorded for a call, the latest ones: as many as the longest block needs.
-const MAX_CRASHES: usize = BLOCKED_FROM + BLOCK_TIMES.len() - 1;
-/// Minimum retention of a record after its last crash.
-const MIN_RETENTION: Span = Span::from_secs(600);
-/// Two reports of a crash of the same incarnation are about one crash if they are this close, which covers
-/// network latency: an update carries the age of a crash when it is sent, and the receiver subtracts the age
-/// from its own time, so the clocks of two nodes are never compared. A target restarts within seconds, at
-/// times with the same [`IncarnationId`].
-const SAME_CRASH: Span = Span::from_secs(1);
-/// Maximum number of calls in the table, some 200 bytes each.
+/// Maximum number of suspects in the table, some 500 bytes each.
 const MAX_RECORDS: usize = 4096;
+/// Maximum number of crashes of a suspect that a node passes on, the latest ones that count: enough for the longest block.
+const MAX_SENT_CRASHES: usize = 6;
 
 /// A short hash that identifies one incarnation of a target.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -48,116 +24,178 @@
     }
 }
 
-/// A crash of a target that was processing the call.
-#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
-struct Crash {
-    incarnation: IncarnationId,
-    at: Time,
+/// A crash that this node has observed, as evidence against one suspect.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// The incarnation of the target that crashed.
+    pub incarnation: IncarnationId,
+    /// When the call with the suspect was sent.
+    pub sent_at: Time,
+    /// When a target last answered a call of this node with the suspect.
+    pub answered_at: Option<Time>,
 }
 
-/// The crashes of one call, in order of time.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    crashes: Vec<Crash>,
+/// A crash as nodes pass it on.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashAge {
+    /// The incarnation of the target that crashed.
+    pub incarnation: IncarnationId,
+    /// The age of the crash in milliseconds.
+    pub age_ms: u32,
+    /// How long before the crash the last call with the suspect was sent, in milliseconds.
+    pub ran_ms: u32,
 }
 
-/// The crashes of one call as nodes pass them on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What a node knows of one suspect, as nodes pass it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashUpdate {
-    /// The fingerprint of the call.
-    #[serde(rename = "print")]
-    pub fingerprint: CallFingerprint,
-    /// The incarnations of the targets that crashed, each with the age of the crash in milliseconds.
+    /// The suspect.
+    pub suspect: Suspect,
+    /// The crashes that count against it.
     #[serde(rename = "ends")]
-    pub crashes: Vec<(IncarnationId, u32)>,
+    pub crashes: Vec<CrashAge>,
+    /// The age of the last complete answer to a call with it, in milliseconds.
+    pub answered_ms: Option<u32>,
 }
 
-/// What a report about a call adds to what a node knows.
+/// What a report about a suspect adds to what a node knows.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub enum CrashKnowledge {
     /// The report adds nothing.
     Unchanged,
-    /// One target crashed during the call, which says little yet.
+    /// Too few targets crashed to notify all nodes.
     Suspected,
-    /// The call crashes targets, and all nodes have to know.
+    /// All nodes have to know the change: the suspect has more crashes, or has turned out to be harmless.
     Confirmed,
 }
 
-/// The blocked calls, and until when each is blocked.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct BlockedCalls(HashMap<CallFingerprint, Time>);
-
-impl BlockedCalls {
-    /// The time for which a call stays blocked; `None` if it is not blocked.
-    pub fn wait(&self, now: Time, fingerprint: CallFingerprint) -> Option<Span> {
-        let until = *self.0.get(&fingerprint)?;
-        (now < until).then(|| until.since(now))
-    }
-
-    /// The number of calls that are blocked now.
-    pub fn count(&self, now: Time) -> usize {
-        self.0.values().filter(|until| **until > now).count()
-    }
-}
-
-/// Calls during which targets crashed.
+/// Suspects of crashes.
 ///
 /// All nodes arrive at the same table from the same reports, in any order.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
-    records: HashMap<CallFingerprint, Record>,
+    records: HashMap<Suspect, CrashRecord>,
+    /// The key of this node, which sets how much longer than others it blocks parts of prompts.
+    node: u64,
+}
+
+impl CrashUpdate {
+    /// Whether it reports crashes, but too few of them for all nodes to know the suspect.
+    pub fn is_single_report(&self) -> bool {
+        let shared_from = BlockPolicy::of(self.suspect).shared_from;
+        (1..shared_from).contains(&self.crashes.len())
+    }
 }
 
 impl CrashTable {
-    /// Records the crash of a target that was processing the call.
-    pub fn record_crash(
-        &mut self,
-        now: Time,
-        fingerprint: CallFingerprint,
-        incarnation: IncarnationId,
-    ) -> CrashKnowledge {
-        self.add(now, fingerprint, &[Crash { incarnation, at: now }])
+    /// Creates the table of the node with this key.
+    pub fn new(node: u64) -> Self {
+        Self {
+            node,
+            ..Self::default()
+        }
+    }
+
+    /// Records a crash that this node has observed.
+    pub fn record_crash(&mut self, now: Time, report: CrashReport) -> CrashKnowledge {
+        let crash = Crash {
+            incarnation: report.incarnation,
+            at: now,
+            sent_at: report.sent_at,
+        };
+        self.add(now, report.suspect, &[crash], report.answered_at)
+    }
+
+    /// Records that a target has given a call with a suspect a complete answer. Suspects that are not in the table are
+    /// ignored.
+    pub fn record_answer(&mut self, now: Time, suspect: Suspect, answered_at: Time) -> CrashKnowledge {
+        self.add(now, suspect, &[], Some(answered_at))
     }
 
     /// Applies an update from another node.
     pub fn apply_update(&mut self, now: Time, update: &CrashUpdate) -> CrashKnowledge {
-        let crash = |(incarnation, age): &(IncarnationId, u32)| Crash {
-            incarnation: *incarnation,
-            at: now - Span::from_millis(u64::from(*age)),
+        let before = |at: Time, ms: u32| at - Span::from_millis(u64::from(ms));
+        let crash = |crash: &CrashAge| {
+            let at = before(now, crash.age_ms);
+            Crash {
+                incarnation: crash.incarnation,
+                at,
+                sent_at: before(at, crash.ran_ms),
+            }
         };
-        let crashes: Vec<Crash> = update.crashes.iter().take(MAX_CRASHES).map(crash).collect();
-        self.add(now, update.fingerprint, &crashes)
+        let crashes: Vec<Crash> = update.crashes.iter().take(MAX_SENT_CRASHES).map(crash).collect();
+        let answered_at = update.answered_ms.map(|ms| before(now, ms));
+        self.add(now, update.suspect, &crashes, answered_at)
     }
 
-    /// The update to send to other nodes about a call.
-    pub fn update_of(&self, now: Time, fingerprint: CallFingerprint) -> Option<CrashUpdate> {
-        let record = self.records.get(&fingerprint)?;
-        let age = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let crashes = record
-            .crashes
-            .iter()
-            .map(|crash| (crash.incarnation, age(crash.at)));
+    /// The update to send to other nodes about a suspect.
+    pub fn update_of(&self, now: Time, suspect: Suspect) -> Option<CrashUpdate> {
+        let record = self.records.get(&suspect)?;
+        let millis = |span: Span| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        let counted = record.counted_crashes(BlockPolicy::of(suspect), &[]);
+        let sent = counted.len().saturating_sub(MAX_SENT_CRASHES);
+        let crashes = counted[sent..].iter().map(|crash| CrashAge {
+            incarnation: crash.incarnation,
+            age_ms: millis(now.since(crash.at)),
+            ran_ms: millis(crash.at.since(crash.sent_at)),
+        });
         Some(CrashUpdate {
-            fingerprint,
+            suspect,
             crashes: crashes.collect(),
+            answered_ms: record.answered_at.map(|at| millis(now.since(at))),
         })
     }
 
-    /// The calls that are blocked now.
+    /// The suspects that are blocked now.
+    ///
+    /// A crash is explained by one suspect: the one with the most crashes, of several the one that was not answered before
+    /// them, and then the narrowest. The crashes that it explains do not count against the others, which may only have run
+    /// beside it.
     pub fn blocked(&self, now: Time) -> BlockedCalls {
-        let until = |(call, record): (&CallFingerprint, &Record)| Some((*call, record.blocked_until()?));
-        let blocked = self.records.iter().filter_map(until);
-        BlockedCalls(blocked.filter(|(_, until)| *until > now).collect())
+        let mut ranked: Vec<(&Suspect, &CrashRecord, usize)> = Vec::new();
+        let mut views = HashMap::new();
+        for (suspect, record) in &self.records {
+            let policy = BlockPolicy::of(*suspect);
+            if record.is_shared(now, policy) {
+                let view = SuspectView {
+                    last_crash: record.last(),
+                    answered_at: record.answered_at,
+                };
+                views.insert(*suspect, view);
+                ranked.push((suspect, record, record.count(policy)));
+            }
+        }
+        ranked.sort_by_key(|(suspect, record, count)| {
+            (Reverse(*count), record.answered_at.is_some(), **suspect)
+        });
+        let mut explained: Vec<Crash> = Vec::new();
+        let mut until = HashMap::new();
+        for (suspect, record, _) in ranked {
+            let policy = BlockPolicy::of(*suspect);
+            let counted = record.counted_crashes(policy, &explained);
+            let block_time = policy.block_time(record.evidence(&counted));
+            let (Some(block_time), Some(last)) = (block_time, counted.last()) else {
+                continue;
+            };
+            let jitter = policy.jitter * rendezvous::uniform(u128::from(suspect.key()), self.node);
+            let end = last.at + block_time + block_time.scale(jitter);
+            if end > now {
+                until.insert(*suspect, end);
+            }
+            explained.extend(counted);
+        }
+        BlockedCalls::new(until, views)
     }
 
-    /// Whether a call is known to crash targets, also while it is not blocked: one more crash then counts
-    /// for more.
-    pub fn is_confirmed(&self, now: Time, fingerprint: CallFingerprint) -> bool {
-        let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.blocked_until().is_some() && record.retained_until() > now)
+    /// Whether all nodes have to know a suspect, also while it is not blocked: one more crash then counts for more.
+    pub fn is_confirmed(&self, now: Time, suspect: Suspect) -> bool {
+        let record = self.records.get(&suspect);
+        record.is_some_and(|record| record.is_shared(now, BlockPolicy::of(suspect)))
     }
 
-    /// The number of calls in the table.
+    /// The number of suspects in the table.
     pub fn len(&self) -> usize {
         self.records.len()
     }
@@ -167,103 +205,58 @@
         self.records.is_empty()
     }
 
-    fn add(&mut self, now: Time, fingerprint: CallFingerprint, crashes: &[Crash]) -> CrashKnowledge {
-        self.evict(now, fingerprint);
-        let record = self.records.entry(fingerprint).or_default();
+    fn add(
+        &mut self,
+        now: Time,
+        suspect: Suspect,
+        crashes: &[Crash],
+        answered_at: Option<Time>,
+    ) -> CrashKnowledge {
+        if crashes.is_empty() && !self.records.contains_key(&suspect) {
+            return CrashKnowledge::Unchanged;
+        }
+        self.evict(now, suspect);
+        let policy = BlockPolicy::of(suspect);
+        let record = self.records.entry(suspect).or_default();
+        let before = record.count(policy);
+        let was_answered = record.answered_at.is_some();
         let mut is_new = false;
         for crash in crashes {
-            is_new |= record.add(*crash);
+            is_new |= record.add(policy, *crash);
+        }
+        if let Some(at) = answered_at {
+            record.add_answer(at);
         }
-        match record.blocked_until() {
-            _ if !is_new => CrashKnowledge::Unchanged,
-            Some(_) => CrashKnowledge::Confirmed,
-            None => CrashKnowledge::Suspected,
+        record.note_shared(now, policy);
+        let after = record.count(policy);
+        let is_changed = after != before || (is_new && after >= policy.shared_from);
+        let is_shared = before.max(after) >= policy.shared_from;
+        // The first answer makes a suspect less suspicious than others, also when it came before the crashes.
+        let is_first_answer = !was_answered && record.answered_at.is_some();
+        match is_shared && (is_changed || is_first_answer) {
+            true => CrashKnowledge::Confirmed,
+            false if is_new => CrashKnowledge::Suspected,
+            false => CrashKnowledge::Unchanged,
         }
     }
 
-    /// Makes space for a call that is not in the table: expired records go first, and then the record of
+    /// Makes space for a suspect that is not in the table: expired records go first, and then the record of
     /// the fewest and oldest crashes.
-    fn evict(&mut self, now: Time, fingerprint: CallFingerprint) {
-        if self.records.len() < MAX_RECORDS || self.records.contains_key(&fingerprint) {
+    fn evict(&mut self, now: Time, suspect: Suspect) {
+        if self.records.len() < MAX_RECORDS || self.records.contains_key(&suspect) {
             return;
         }
-        self.records.retain(|_, record| record.retained_until() > now);
+        self.records
+            .retain(|suspect, record| record.retained_until(BlockPolicy::of(*suspect)) > now);
         if self.records.len() < MAX_RECORDS {
             return;
         }
-        let least = self.records.iter().min_by_key(|(_, record)| record.weight());
-        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
-            self.records.remove(&fingerprint);
-        }
-    }
-}
-
-impl Record {
-    /// Adds a crash. Returns false if it is already recorded.
-    fn add(&mut self, crash: Crash) -> bool {
-        let known = |known: &Crash| {
-            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
-            known.incarnation == crash.incarnation && apart < SAME_CRASH
+        let weight = |(suspect, record): &(&Suspect, &CrashRecord)| {
+            (record.count(BlockPolicy::of(**suspect)), record.last())
         };
-        if self.crashes.iter().any(known) {
-            return false;
-        }
-        let place = self.crashes.partition_point(|known| known.at <= crash.at);
-        if place == 0 && self.crashes.len() == MAX_CRASHES {
-            return false;
-        }
-        self.crashes.insert(place, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        true
-    }
-
-    fn last(&self) -> Time {
-        self.crashes.last().map_or(Time(0), |crash| crash.at)
-    }
-
-    /// Number of crashes that count together, up to the latest. The count starts again at 1 with a crash that
-    /// follows the one before it by [`retention_after`] the crashes counted until then, or more.
-    fn counted(&self) -> usize {
-        let mut counted = 0;
-        let mut last = Time(0);
-        for crash in &self.crashes {
-            let apart = crash.at.since(last);
-            counted = if apart < retention_after(counted) {
-                counted + 1
-            } else {
-                1
-            };
-            last = crash.at;
+        let least = self.records.iter().min_by_key(weight);
+        if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
+            self.records.remove(&suspect);
         }
-        counted
-    }
-
-    fn blocked_until(&self) -> Option<Time> {
-        let more = self.counted().checked_sub(BLOCKED_FROM)?;
-        Some(self.last() + block_time(more))
-    }
-
-    /// Until when the record is retained.
-    fn retained_until(&self) -> Time {
-        self.last() + retention_after(self.counted())
     }
-
-    /// Order of eviction; the lowest goes first.
-    fn weight(&self) -> (usize, Time) {
-        (self.counted(), self.last())
-    }
-}
-
-/// How long after the last of `crashes` crashes the next one still counts together with them: as long as the
-/// call would be blocked after that next crash, and at least [`MIN_RETENTION`].
-fn retention_after(crashes: usize) -> Span {
-    let next = (crashes + 1).checked_sub(BLOCKED_FROM);
-    next.map_or(MIN_RETENTION, |more| block_time(more).max(MIN_RETENTION))
-}
-
-/// How long a call is blocked after `more` crashes beyond [`BLOCKED_FROM`].
-fn block_time(more: usize) -> Span {
-    BLOCK_TIMES[more.min(BLOCK_TIMES.len() - 1)]
 }
--- a/crates/barleyspool_core/src/crashes/mod.rs
+++ b/crates/barleyspool_core/src/crashes/mod.rs
@@ -1,15 +1,21 @@
 //! Calls that crash targets.
 //!
-//! A target may crash because of what a call asks of it. The caller sends such a call again, with another
-//! id and to another node, and it crashes the next target together with all the calls that are running
-//! there. So nodes exchange reports of the calls during which targets crashed, identified by a fingerprint
-//! that all tries of a call share ([`CallFingerprint`]), and after the second crash every node blocks the
-//! call for a while ([`CrashTable`]). See docs/DESIGN.md, "Calls that crash targets".
+//! A target may crash because of what a call asks of it, or of one part of its prompt. Such calls come again, with other ids
+//! and to other nodes, and crash the next target together with all the calls that are running there. So nodes exchange
+//! reports of what ran at targets that crashed ([`Suspect`]), and of answers which show that it is harmless, and after some
+//! crashes every node blocks calls with the suspect for a while ([`CrashTable`]). See docs/DESIGN.md, "Calls that crash
+//! targets".
 
 mod answered_calls;
+mod block_policy;
+mod blocked_calls;
 mod call_fingerprint;
+mod crash_record;
 mod crash_table;
+mod suspect;
 
 pub use answered_calls::AnsweredCalls;
+pub use blocked_calls::{BlockedCalls, SuspectView};
 pub use call_fingerprint::CallFingerprint;
-pub use crash_table::{BlockedCalls, CrashKnowledge, CrashTable, CrashUpdate, IncarnationId};
+pub use crash_table::{CrashAge, CrashKnowledge, CrashReport, CrashTable, CrashUpdate, IncarnationId};
+pub use suspect::{PartId, Suspect};
--- a/crates/barleyspool_core/src/forward/call_head.rs
+++ b/crates/barleyspool_core/src/forward/call_head.rs
@@ -48,13 +48,6 @@
         })
     }
 
-    /// The ids of the prompt parts that other calls may share, in hexadecimal, separated by commas.
-    pub fn shared_parts_text(&self) -> String {
-        let shared = self.prompt.len().saturating_sub(1);
-        let ids = self.prompt[..shared].iter().map(|part| format!("{:x}", part.id));
-        ids.collect::<Vec<_>>().join(",")
-    }
-
     /// The number of tokens of the prompt parts that other calls may share.
     pub fn shared_tokens(&self) -> u32 {
         let shared = self.prompt.len().saturating_sub(1);
--- a/crates/barleyspool_core/src/membership/event.rs
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -1,7 +1,7 @@
 //! Events and actions of a membership table.
 
 use super::{Evidence, MemberHealth, MemberMessage, SourceState};
-use crate::{CallFingerprint, IncarnationId, ServiceSet, StreamId, StreamRecord};
+use crate::{CrashReport, IncarnationId, ServiceSet, StreamId, StreamRecord, Suspect, Time};
 
 /// An event that the table handles.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,11 +22,13 @@
     /// Announces the source state of this node to the nodes at these addresses.
     Announce(Vec<String>),
     /// A target crashed while it was processing a call.
-    Crashed {
-        /// The fingerprint of the call.
-        fingerprint: CallFingerprint,
-        /// The incarnation of the target.
-        incarnation: IncarnationId,
+    Crashed(CrashReport),
+    /// A target has given a call with a suspect a complete answer.
+    Answered {
+        /// The suspect.
+        suspect: Suspect,
+        /// When.
+        at: Time,
     },
     /// An answer from a target reported its rate limit, or none.
     LimitReceived {
@@ -77,7 +79,7 @@
         /// Whether that node reads the source.
         reads: bool,
     },
-    /// A further call is blocked, or one is blocked for longer.
+    /// What all nodes know of a suspect of crashes has changed: it may be blocked now, or not any more.
     BlockedCallsChanged,
     /// A target has reported in an answer, to this node or to another, that it is leaving.
     TargetLeaves {
--- a/crates/barleyspool_core/src/membership/message.rs
+++ b/crates/barleyspool_core/src/membership/message.rs
@@ -104,7 +104,7 @@
     pub source: SourceState,
     /// Updates about nodes, with that of the sender itself first. Empty in an `Announce`.
     pub updates: Vec<MemberUpdate>,
-    /// Calls that crash targets. Omitted when empty, which it nearly always is: a node that reads the
+    /// Suspects of crashes. Omitted when empty, which it nearly always is: a node that reads the
     /// source announces its state to its whole zone, where one more byte in each message costs 60 bytes a
     /// second with 410 nodes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -77,7 +77,7 @@
             me,
             source: SourceState::default(),
             catch_up: CatchUp::default(),
-            crashes: Crashes::default(),
+            crashes: Crashes::new(&settings.facts.address),
             limits: Limits::default(),
             leaving: Leaving::default(),
             reach: Reach::default(),
@@ -108,10 +108,8 @@
             MemberEvent::Serving(serving) => self.set_serving(serving),
             MemberEvent::Source(source) => self.source = source,
             MemberEvent::Announce(recipients) => self.announce(recipients),
-            MemberEvent::Crashed {
-                fingerprint,
-                incarnation,
-            } => self.handle_crash(now, fingerprint, incarnation),
+            MemberEvent::Crashed(report) => self.handle_crash(now, report),
+            MemberEvent::Answered { suspect, at } => self.handle_answer(now, suspect, at),
             MemberEvent::LimitReceived { incarnation, per_s } => self.handle_limit(now, incarnation, per_s),
             MemberEvent::TargetLeaves { incarnation } => self.handle_target_leaving(now, incarnation),
             MemberEvent::BrittleReported { service, refusals } => {
--- a/crates/barleyspool_core/tests/crashes.rs
+++ b/crates/barleyspool_core/tests/crashes.rs
@@ -9,10 +9,15 @@
 )]
 
 use barleyspool_core::{
-    AnsweredCalls, CallFingerprint, CrashKnowledge, CrashTable, CrashUpdate, IncarnationId, Span, Time,
+    AnsweredCalls, CallFingerprint, CrashAge, CrashKnowledge, CrashReport, CrashTable, CrashUpdate,
+    IncarnationId, PartId, Span, Suspect, Time,
 };
 
-const CALL: CallFingerprint = CallFingerprint(7);
+const CALL: Suspect = Suspect::Call(CallFingerprint(7));
+const PART: Suspect = Suspect::Part(PartId(7));
+const OTHER_PART: Suspect = Suspect::Part(PartId(8));
+/// How long a call runs until its target crashes.
+const RUN_TIME: Span = Span::from_millis(100);
 const START: Time = Time(1_000_000_000_000);
 
 fn at(seconds: u64) -> Time {
@@ -23,23 +28,42 @@
     IncarnationId(number)
 }
 
+fn other_call(number: u64) -> Suspect {
+    Suspect::Call(CallFingerprint(number))
+}
+
+/// A target crashes that has run a call with the suspect for [`RUN_TIME`].
+fn crash(table: &mut CrashTable, now: Time, suspect: Suspect, incarnation: IncarnationId) -> CrashKnowledge {
+    let report = CrashReport {
+        suspect,
+        incarnation,
+        sent_at: Time(now.0 - RUN_TIME.0),
+        answered_at: None,
+    };
+    table.record_crash(now, report)
+}
+
 fn wait(table: &CrashTable, now: Time) -> Option<Span> {
     table.blocked(now).wait(now, CALL)
 }
 
+fn part_wait(table: &CrashTable, now: Time, part: Suspect) -> Option<Span> {
+    table.blocked(now).wait(now, part)
+}
+
 #[test]
 fn a_call_is_blocked_after_the_second_crash() {
     let mut table = CrashTable::default();
-    assert_eq!(table.record_crash(at(0), CALL, run(1)), CrashKnowledge::Suspected);
+    assert_eq!(crash(&mut table, at(0), CALL, run(1)), CrashKnowledge::Suspected);
     assert_eq!(wait(&table, at(0)), None, "a single crash may be by chance");
     assert_eq!(
-        table.record_crash(at(0), CALL, run(1)),
+        crash(&mut table, at(0), CALL, run(1)),
         CrashKnowledge::Unchanged,
         "also reported by another node"
     );
-    assert_eq!(table.record_crash(at(1), CALL, run(2)), CrashKnowledge::Confirmed);
+    assert_eq!(crash(&mut table, at(1), CALL, run(2)), CrashKnowledge::Confirmed);
     assert!(wait(&table, at(2)).unwrap() > Span::from_secs(2));
-    assert_eq!(table.blocked(at(2)).wait(at(2), CallFingerprint(8)), None);
+    assert_eq!(table.blocked(at(2)).wait(at(2), other_call(8)), None);
 }
 
 /// A restarted target has the same incarnation id until its new entry is read, so the time has to
@@ -47,8 +71,8 @@
 #[test]
 fn two_crashes_with_the_same_incarnation_id_count_twice() {
     let mut table = CrashTable::default();
-    table.record_crash(at(0), CALL, run(1));
-    assert_eq!(table.record_crash(at(5), CALL, run(1)), CrashKnowledge::Confirmed);
+    crash(&mut table, at(0), CALL, run(1));
+    assert_eq!(crash(&mut table, at(5), CALL, run(1)), CrashKnowledge::Confirmed);
 }
 
 /// Guards the rule of the deployments: a call that crashes every target may cause three crashes and three
@@ -61,7 +85,7 @@
         let now = START + Span::from_millis(half * 500);
         if wait(&table, now).is_none() {
             crashes += 1;
-            table.record_crash(now, CALL, run(crashes));
+            crash(&mut table, now, CALL, run(crashes));
         }
     }
     assert!(crashes <= 6, "{crashes}");
@@ -70,17 +94,17 @@
 #[test]
 fn a_call_blocked_after_two_crashes_is_unblocked_within_seconds() {
     let mut table = CrashTable::default();
-    table.record_crash(at(0), CALL, run(1));
-    table.record_crash(at(1), CALL, run(2));
+    crash(&mut table, at(0), CALL, run(1));
+    crash(&mut table, at(1), CALL, run(2));
     assert_eq!(wait(&table, at(7)), None);
 }
 
 #[test]
 fn crashes_far_apart_do_not_count_together() {
     let mut table = CrashTable::default();
-    table.record_crash(at(0), CALL, run(1));
+    crash(&mut table, at(0), CALL, run(1));
     assert_eq!(
-        table.record_crash(at(700), CALL, run(2)),
+        crash(&mut table, at(700), CALL, run(2)),
         CrashKnowledge::Suspected
     );
     assert_eq!(wait(&table, at(700)), None);
@@ -89,10 +113,10 @@
 #[test]
 fn the_table_is_bounded_and_keeps_the_calls_with_most_crashes() {
     let mut table = CrashTable::default();
-    table.record_crash(at(0), CALL, run(1));
-    table.record_crash(at(1), CALL, run(2));
+    crash(&mut table, at(0), CALL, run(1));
+    crash(&mut table, at(1), CALL, run(2));
     for other in 0..20_000 {
-        table.record_crash(at(2), CallFingerprint(1000 + other), run(3));
+        crash(&mut table, at(2), other_call(1000 + other), run(3));
     }
     assert!(table.len() <= 4096, "{}", table.len());
     assert!(wait(&table, at(3)).is_some());
@@ -108,8 +132,13 @@
 
 fn tables_agree_in_any_order(reports: &[(u8, u8)], shuffle: u64) -> bool {
     let update = |(number, age): &(u8, u8)| CrashUpdate {
-        fingerprint: CALL,
-        crashes: vec![(run(u32::from(number % 6)), u32::from(*age) * 2500)],
+        suspect: CALL,
+        crashes: vec![CrashAge {
+            incarnation: run(u32::from(number % 6)),
+            age_ms: u32::from(*age) * 2500,
+            ran_ms: 100,
+        }],
+        answered_ms: None,
     };
     let mut one = CrashTable::default();
     let mut other = CrashTable::default();
@@ -129,8 +158,8 @@
 #[test]
 fn a_report_from_another_node_counts_with_its_age() {
     let mut here = CrashTable::default();
-    here.record_crash(at(0), CALL, run(1));
-    here.record_crash(at(1), CALL, run(2));
+    crash(&mut here, at(0), CALL, run(1));
+    crash(&mut here, at(1), CALL, run(2));
     let mut there = CrashTable::default();
     // The clock of the other node is an hour ahead.
     let update = here.update_of(at(3), CALL).unwrap();
@@ -143,14 +172,18 @@
 fn an_answered_call_is_remembered_for_a_minute() {
     let mut answered = AnsweredCalls::default();
     answered.insert(at(0), CALL);
-    assert!(answered.contains(at(59), CALL));
-    assert!(!answered.contains(at(59), CallFingerprint(8)));
-    assert!(!answered.contains(at(200), CALL));
+    assert_eq!(answered.answered_at(at(59), CALL), Some(at(0)));
+    assert_eq!(answered.answered_at(at(59), other_call(8)), None);
+    assert_eq!(answered.answered_at(at(200), CALL), None);
     for other in 0..100_000 {
-        answered.insert(at(201), CallFingerprint(other));
+        answered.insert(at(201), other_call(other));
     }
-    assert!(answered.contains(at(201), CallFingerprint(99_999)));
-    assert!(!answered.contains(at(201), CallFingerprint(5)), "it is bounded");
+    assert_eq!(answered.answered_at(at(201), other_call(99_999)), Some(at(201)));
+    assert_eq!(
+        answered.answered_at(at(201), other_call(5)),
+        None,
+        "it is bounded"
+    );
 }
 
 #[test]
@@ -167,3 +200,151 @@
         assert_ne!(one, fingerprint(other));
     }
 }
+
+// ----------------------------------------------------------------------------
+// Parts of prompts, and what speaks for a suspect
+
+/// Four targets crash one after the other under calls with the part.
+fn four_crashes(table: &mut CrashTable, part: Suspect) {
+    for number in 0..4 {
+        crash(table, at(u64::from(number)), part, run(number));
+    }
+}
+
+// Guards against a part of prompts that crashes every target and is never blocked, since no two calls are alike.
+#[test]
+fn a_part_is_blocked_after_the_fourth_crash() {
+    let mut table = CrashTable::default();
+    for number in 0..3 {
+        crash(&mut table, at(number), PART, run(number as u32));
+        assert_eq!(part_wait(&table, at(number), PART), None);
+    }
+    crash(&mut table, at(3), PART, run(3));
+    assert!(part_wait(&table, at(4), PART).unwrap() >= Span::from_secs(29));
+    assert_eq!(part_wait(&table, at(4), OTHER_PART), None);
+}
+
+// Guards the rule of the deployments: five crashes, those of the next 3 s, and three more calls. Each call is sent twice a
+// second at any of eight nodes, which know each crash at once, for a day.
+#[test]
+fn a_part_that_is_sent_repeatedly_reaches_few_targets() {
+    let mut tables: Vec<CrashTable> = (0..8).map(|node| CrashTable::new(node * 0x9e37_79b9)).collect();
+    let mut crashes: Vec<Time> = Vec::new();
+    for half in 0..172_800_u64 {
+        let now = START + Span::from_millis(half * 500);
+        let node = (half as usize * 5) % tables.len();
+        if part_wait(&tables[node], now, PART).is_none() {
+            let number = crashes.len() as u32;
+            tables.iter_mut().for_each(|table| {
+                crash(table, now, PART, run(number));
+            });
+            crashes.push(now);
+        }
+    }
+    let late = crashes.get(4).map_or(0, |fifth| {
+        crashes
+            .iter()
+            .filter(|at| **at > *fifth + Span::from_secs(3))
+            .count()
+    });
+    assert!(late <= 3, "{late} after the fifth, {} in all", crashes.len());
+}
+
+// Guards against a part that many prompts share and that is blocked since many targets crash at once.
+#[test]
+fn a_part_that_ran_at_many_targets_which_crash_at_once_is_not_blocked() {
+    let mut table = CrashTable::default();
+    for number in 0..12 {
+        let now = at(0) + Span::from_millis(u64::from(number) * 5);
+        crash(&mut table, now, PART, run(number));
+    }
+    assert_eq!(part_wait(&table, at(1), PART), None);
+}
+
+// Guards against a harmless part, or call, that stays blocked although targets answer it.
+#[test]
+fn an_answer_ends_the_block() {
+    let mut table = CrashTable::default();
+    four_crashes(&mut table, PART);
+    assert!(part_wait(&table, at(4), PART).is_some());
+    assert_eq!(table.record_answer(at(4), PART, at(4)), CrashKnowledge::Confirmed);
+    assert_eq!(part_wait(&table, at(4), PART), None);
+    crash(&mut table, at(5), CALL, run(1));
+    crash(&mut table, at(6), CALL, run(2));
+    assert!(wait(&table, at(6)).is_some());
+    table.record_answer(at(7), CALL, at(7));
+    assert_eq!(wait(&table, at(7)), None);
+    assert_eq!(
+        table.record_answer(at(7), other_call(9), at(7)),
+        CrashKnowledge::Unchanged
+    );
+}
+
+// Guards against a part that is answered at one target, becomes harmful with a later version, and is not blocked for that
+// answer.
+#[test]
+fn what_was_answered_before_is_blocked_one_crash_later() {
+    let mut table = CrashTable::default();
+    for (number, suspect) in [(0, CALL), (1, PART)] {
+        let report = CrashReport {
+            suspect,
+            incarnation: run(number),
+            sent_at: at(10),
+            answered_at: Some(at(5)),
+        };
+        table.record_crash(at(10), report);
+    }
+    crash(&mut table, at(11), CALL, run(2));
+    assert_eq!(wait(&table, at(11)), None);
+    crash(&mut table, at(12), CALL, run(3));
+    assert!(wait(&table, at(12)).is_some());
+    for number in 11..14 {
+        crash(&mut table, at(number), PART, run(number as u32 + 10));
+    }
+    assert_eq!(part_wait(&table, at(13), PART), None);
+    crash(&mut table, at(14), PART, run(40));
+    assert!(part_wait(&table, at(14), PART).is_some());
+}
+
+// Guards against a block of what only ran beside the culprit: the crashes that a part explains do not count against others.
+#[test]
+fn crashes_count_against_the_suspect_that_explains_most_of_them() {
+    let mut table = CrashTable::default();
+    four_crashes(&mut table, PART);
+    crash(&mut table, at(4), PART, run(4));
+    // A call and another part ran at two and at four of the five targets.
+    crash(&mut table, at(1), CALL, run(1));
+    crash(&mut table, at(2), CALL, run(2));
+    for number in 1..5 {
+        crash(&mut table, at(u64::from(number)), OTHER_PART, run(number));
+    }
+    let now = at(4);
+    assert!(part_wait(&table, now, PART).is_some());
+    assert_eq!(part_wait(&table, now, OTHER_PART), None);
+    assert_eq!(wait(&table, now), None);
+    // A crash that the part does not explain counts.
+    crash(&mut table, at(5), CALL, run(9));
+    crash(&mut table, at(6), CALL, run(10));
+    assert!(wait(&table, at(6)).is_some());
+}
+
+// Guards against two parts with the same crashes that are blocked together, although one was answered lately.
+#[test]
+fn of_two_parts_with_the_same_crashes_the_one_that_was_never_answered_is_blocked() {
+    let mut table = CrashTable::default();
+    for number in 0..6_u32 {
+        let now = at(10 + u64::from(number));
+        for (suspect, answered_at) in [(PART, None), (OTHER_PART, Some(at(9)))] {
+            let sent_at = Time(now.0 - RUN_TIME.0);
+            let report = CrashReport {
+                suspect,
+                incarnation: run(number),
+                sent_at,
+                answered_at,
+            };
+            table.record_crash(now, report);
+        }
+    }
+    assert!(part_wait(&table, at(16), PART).is_some());
+    assert_eq!(part_wait(&table, at(16), OTHER_PART), None);
+}
--- a/crates/barleyspool_core/tests/membership/blocked_calls.rs
+++ b/crates/barleyspool_core/tests/membership/blocked_calls.rs
@@ -2,9 +2,10 @@
 //! call crashes, in a simulated fleet.
 
 use crate::net::{Net, fleet, name};
-use barleyspool_core::{AnsweredCalls, CallFingerprint, IncarnationId, MemberEvent, Span, Time};
+use barleyspool_core::{
+    AnsweredCalls, CallFingerprint, CrashReport, IncarnationId, MemberEvent, PartId, Span, Suspect, Time,
+};
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 const TARGETS: usize = 16;
@@ -22,6 +23,8 @@
 const MAX_REFUSED_SHARE: f64 = 0.02;
 /// A call that crashes every target may cause three crashes and three more.
 const MAX_CRASHES: usize = 6;
+/// How many calls with a part that crashes every target may be sent later than 3 s after the fifth crash.
+const MAX_LATE_SENDS: usize = 3;
 
 /// What a call does to its target.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
@@ -30,17 +33,20 @@
     Repeated,
     /// Crashes its target and is not sent again.
     CrashesOnce,
-    /// The same call again and again; it crashes every target.
+    /// The same call, or calls with the same part in their prompts, again and again; they crash every target.
     Harmful,
+    /// A call with a prompt of which all shared parts are harmless; no two are alike.
+    Sound,
 }
 
 /// A call at a target.
 #[derive(Clone, Debug)]
 struct Flight {
     kind: Kind,
-    call: CallFingerprint,
+    suspects: Vec<Suspect>,
     node: usize,
     target: usize,
+    sent_at: Time,
     ends_at: Time,
 }
 
@@ -49,6 +55,11 @@
     sent: usize,
     refused: usize,
     harmful_crashes: usize,
+    /// When harmful calls were sent, and when targets crashed under them.
+    harmful_sends: Vec<Time>,
+    crash_times: Vec<Time>,
+    /// When sound calls came to a node, and whether it sent them.
+    sound: Vec<(Time, bool)>,
 }
 
 struct Simulation {
@@ -61,8 +72,17 @@
     outcome: Outcome,
 }
 
-const REPEATED: CallFingerprint = CallFingerprint(1);
-const HARMFUL: CallFingerprint = CallFingerprint(2);
+const REPEATED: Suspect = Suspect::Call(CallFingerprint(1));
+const HARMFUL: Suspect = Suspect::Call(CallFingerprint(2));
+const HARMFUL_PART: Suspect = Suspect::Part(PartId(1));
+/// Parts that harmful and sound calls have in common.
+const SHARED_PARTS: [Suspect; 2] = [Suspect::Part(PartId(2)), Suspect::Part(PartId(3))];
+/// The time after which a part of the targets crash at once by themselves, as those of a zone do.
+const FAILURE_INTERVAL: Span = Span::from_secs(4);
+/// How many targets crash at once.
+const FAILED_AT_ONCE: usize = 6;
+/// The time between two sound calls.
+const SOUND_INTERVAL: Span = Span::from_millis(100);
 
 impl Simulation {
     fn new(count: usize, seed: u64) -> Self {
@@ -78,39 +98,52 @@
     }
 
     /// Sends a call at a node; false if the node blocks it.
-    fn send(&mut self, kind: Kind, call: CallFingerprint, node: usize, duration: Span) -> bool {
+    fn send(&mut self, kind: Kind, suspects: Vec<Suspect>, node: usize, duration: Span) -> bool {
         let now = self.net.now;
         let blocked = self.net.nodes[&name(node)].crashes().blocked(now);
-        if blocked.wait(now, call).is_some() && !self.answered[node].contains(now, call) {
-            return false;
+        for suspect in &suspects {
+            let answered_at = self.answered[node].answered_at(now, *suspect);
+            let last_crash = blocked.suspect(*suspect).map(|view| view.last_crash);
+            if blocked.wait(now, *suspect).is_some() && answered_at <= last_crash {
+                return false;
+            }
         }
-        let target = self.random.random_range(0..TARGETS);
-        let ends_at = now + duration;
         self.flights.push(Flight {
             kind,
-            call,
+            suspects,
             node,
-            target,
-            ends_at,
+            target: self.random.random_range(0..TARGETS),
+            sent_at: now,
+            ends_at: now + duration,
         });
         true
     }
 
-    /// Ends the calls that are due: harmful ones crash their targets, with all other calls there.
-    fn end_flights(&mut self) {
+    /// A call that is like no other, with these parts in its prompt.
+    fn unique_call(&mut self, parts: &[Suspect]) -> Vec<Suspect> {
+        let call = Suspect::Call(CallFingerprint(self.random.random()));
+        std::iter::once(call).chain(parts.iter().copied()).collect()
+    }
+
+    /// Ends the calls that are due: harmful ones crash their targets, with all other calls there, and so do the calls at
+    /// `failed` targets, which crash by themselves.
+    fn end_flights(&mut self, failed: &[usize]) {
         let now = self.net.now;
         let due = |flight: &Flight| flight.ends_at <= now;
         let crashed: Vec<usize> = self
             .flights
             .iter()
-            .filter(|flight| due(flight) && flight.kind != Kind::Repeated)
+            .filter(|flight| due(flight) && matches!(flight.kind, Kind::CrashesOnce | Kind::Harmful))
             .map(|flight| flight.target)
+            .chain(failed.iter().copied())
             .collect();
         let harmful = self
             .flights
             .iter()
             .filter(|flight| due(flight) && flight.kind == Kind::Harmful);
-        self.outcome.harmful_crashes += harmful.count();
+        let harmful = harmful.count();
+        self.outcome.harmful_crashes += harmful;
+        self.outcome.crash_times.extend(std::iter::repeat_n(now, harmful));
         let (ended, running): (Vec<Flight>, Vec<Flight>) = std::mem::take(&mut self.flights)
             .into_iter()
             .partition(|flight| due(flight) || crashed.contains(&flight.target));
@@ -119,7 +152,7 @@
             if crashed.contains(&flight.target) {
                 self.record_crash(&flight);
             } else {
-                self.answered[flight.node].insert(now, flight.call);
+                self.record_answer(&flight);
             }
         }
         for target in crashed {
@@ -129,15 +162,41 @@
 
     fn record_crash(&mut self, flight: &Flight) {
         let now = self.net.now;
-        if self.answered[flight.node].contains(now, flight.call) {
-            return;
-        }
         let incarnation = IncarnationId((flight.target as u32) << 16 | self.incarnations[flight.target]);
-        let event = MemberEvent::Crashed {
-            fingerprint: flight.call,
-            incarnation,
-        };
-        self.net.step(&name(flight.node), event);
+        for suspect in &flight.suspects {
+            let answered_at = self.answered[flight.node].answered_at(now, *suspect);
+            if answered_at.is_some_and(|at| at >= flight.sent_at) {
+                continue;
+            }
+            let report = CrashReport {
+                suspect: *suspect,
+                incarnation,
+                sent_at: flight.sent_at,
+                answered_at,
+            };
+            self.net.step(&name(flight.node), MemberEvent::Crashed(report));
+        }
+    }
+
+    fn record_answer(&mut self, flight: &Flight) {
+        let now = self.net.now;
+        for suspect in &flight.suspects {
+            self.answered[flight.node].insert(now, *suspect);
+        }
+    }
+
+    /// Nodes report the answers that show which suspects are harmless.
+    fn report_answers(&mut self) {
+        let now = self.net.now;
+        for node in 0..self.count {
+            let blocked = self.net.nodes[&name(node)].crashes().blocked(now);
+            for (suspect, view) in blocked.suspects() {
+                let answered_at = self.answered[node].answered_at(now, suspect);
+                if let Some(at) = answered_at.filter(|at| view.is_news(*at)) {
+                    self.net.step(&name(node), MemberEvent::Answered { suspect, at });
+                }
+            }
+        }
     }
 
     /// Runs for `duration`. A caller repeats a harmless call over all nodes; `harmful` says whether the targets crash by
@@ -149,26 +208,23 @@
         let mut turn = 0;
         while self.net.now < end {
             let now = self.net.now;
-            self.end_flights();
+            self.end_flights(&[]);
+            self.report_answers();
             if now >= next_crash {
                 let node = self.random.random_range(0..self.count);
                 let (kind, call, interval) = if harmful {
-                    (Kind::Harmful, HARMFUL, HARMFUL_INTERVAL)
+                    (Kind::Harmful, vec![HARMFUL], HARMFUL_INTERVAL)
                 } else {
-                    (
-                        Kind::CrashesOnce,
-                        CallFingerprint(self.random.random()),
-                        CRASH_INTERVAL,
-                    )
+                    (Kind::CrashesOnce, self.unique_call(&[]), CRASH_INTERVAL)
                 };
                 next_crash = now + interval;
                 self.send(kind, call, node, HARMFUL_TIME);
             }
             let is_running = self.flights.iter().any(|flight| flight.kind == Kind::Repeated);
             if now >= next_call && !is_running {
-                let duration = Span::from_millis(*[100, 200, 300, 400].choose(&mut self.random).unwrap());
+                let duration = Span::from_millis(100 * self.random.random_range(1..=4));
                 turn += 1;
-                if self.send(Kind::Repeated, REPEATED, turn % self.count, duration) {
+                if self.send(Kind::Repeated, vec![REPEATED], turn % self.count, duration) {
                     self.outcome.sent += 1;
                 } else {
                     self.outcome.refused += 1;
@@ -181,6 +237,77 @@
     }
 }
 
+impl Simulation {
+    /// Runs for `duration`: calls with a part in common crash every target, while sound calls have all their other parts.
+    fn run_parts(&mut self, duration: Span) -> Outcome {
+        let end = self.net.now + duration;
+        let (mut next_harmful, mut next_sound) = (self.net.now, self.net.now);
+        let mut next_failure = self.net.now + FAILURE_INTERVAL;
+        while self.net.now < end {
+            let now = self.net.now;
+            if now >= next_failure {
+                next_failure = now + FAILURE_INTERVAL;
+                let first = self.random.random_range(0..TARGETS);
+                let failed: Vec<usize> = (0..FAILED_AT_ONCE)
+                    .map(|number| (first + number) % TARGETS)
+                    .collect();
+                self.end_flights(&failed);
+            }
+            self.end_flights(&[]);
+            self.report_answers();
+            if now >= next_harmful {
+                next_harmful = now + HARMFUL_INTERVAL;
+                let call = self.unique_call(&[SHARED_PARTS[0], HARMFUL_PART, SHARED_PARTS[1]]);
+                let node = self.random.random_range(0..self.count);
+                if self.send(Kind::Harmful, call, node, HARMFUL_TIME) {
+                    self.outcome.harmful_sends.push(now);
+                }
+            }
+            if now >= next_sound {
+                next_sound = now + SOUND_INTERVAL;
+                let call = self.unique_call(&SHARED_PARTS);
+                let node = self.random.random_range(0..self.count);
+                let duration = Span::from_millis(self.random.random_range(200..1500));
+                let is_sent = self.send(Kind::Sound, call, node, duration);
+                self.outcome.sound.push((now, is_sent));
+            }
+            self.net.run(STEP);
+        }
+        self.outcome.clone()
+    }
+}
+
+/// The calls with a harmful part that are sent later than 3 s after the fifth crash, and the sound calls that are refused.
+fn check_parts(count: usize, seeds: u64, duration: Span) {
+    let (mut sound, mut refused) = (0, 0);
+    for seed in 0..seeds {
+        let outcome = Simulation::new(count, seed).run_parts(duration);
+        let fifth = outcome.crash_times.get(4).or(outcome.crash_times.last());
+        let known_at = fifth.copied().unwrap_or_default() + Span::from_secs(3);
+        let late = outcome.harmful_sends.iter().filter(|at| **at > known_at).count();
+        let crashes = outcome.crash_times.len();
+        assert!(
+            late <= MAX_LATE_SENDS,
+            "{count} nodes, seed {seed}: {late} late sends"
+        );
+        sound += outcome.sound.len();
+        refused += outcome.sound.iter().filter(|(_, is_sent)| !is_sent).count();
+        println!("{count} nodes, seed {seed}: {crashes} crashes by a part, {late} late sends");
+    }
+    let share = refused as f64 / sound as f64;
+    println!("{count} nodes: {refused} of {sound} sound calls refused, {share:.3}");
+    assert!(share <= MAX_REFUSED_SHARE, "{count} nodes: {refused} of {sound}");
+}
+
+// Guards against a part of prompts that crashes target after target, and against a block of the other parts of these
+// prompts.
+#[test]
+fn a_harmful_part_crashes_few_targets_and_sound_calls_are_served_in_fleets_of_all_sizes() {
+    check_parts(3, 20, Span::from_secs(36));
+    check_parts(89, 3, Span::from_secs(36));
+    check_parts(410, 1, Span::from_secs(12));
+}
+
 fn check_harmless(count: usize, seeds: u64, duration: Span) {
     let mut all = Outcome::default();
     for seed in 0..seeds {
--- a/crates/barleyspool_core/tests/membership/crashes.rs
+++ b/crates/barleyspool_core/tests/membership/crashes.rs
@@ -2,27 +2,34 @@
 
 use crate::net::{Net, fleet, name};
 use barleyspool_core::{
-    CallFingerprint, CrashUpdate, IncarnationId, MemberEvent, MemberMessage, MessageKind, SourceState, Span,
+    CallFingerprint, CrashAge, CrashReport, CrashUpdate, IncarnationId, MemberEvent, MemberMessage,
+    MessageKind, SourceState, Span, Suspect,
 };
 
 /// The time within which every node has to know: on all deployments this is required of each node that has
 /// run undisturbed for 3 s.
 const KNOWN: Span = Span::from_secs(3);
 
+fn suspect(fingerprint: u64) -> Suspect {
+    Suspect::Call(CallFingerprint(fingerprint))
+}
+
 /// The target with the incarnation id `number` crashes during a call of this node.
 fn crash(net: &mut Net, node: usize, fingerprint: u64, number: u32) {
-    let event = MemberEvent::Crashed {
-        fingerprint: CallFingerprint(fingerprint),
+    let report = CrashReport {
+        suspect: suspect(fingerprint),
         incarnation: IncarnationId(number),
+        sent_at: net.now,
+        answered_at: None,
     };
-    net.step(&name(node), event);
+    net.step(&name(node), MemberEvent::Crashed(report));
 }
 
 /// The nodes that do not know that the call crashes targets.
 fn unaware(net: &Net, fingerprint: u64) -> Vec<&String> {
     let knows = |node: &&String| {
         let table = net.nodes[*node].crashes();
-        !table.is_confirmed(net.now, CallFingerprint(fingerprint))
+        !table.is_confirmed(net.now, suspect(fingerprint))
     };
     net.nodes.keys().filter(knows).collect()
 }
@@ -171,8 +178,9 @@
     assert_eq!(rmp_serde::from_slice::<MemberMessage>(&bytes).unwrap(), message);
     let with_crashes = MemberMessage {
         crashes: vec![CrashUpdate {
-            fingerprint: CallFingerprint(7),
-            crashes: vec![(IncarnationId(1), 20), (IncarnationId(2), 10)],
+            suspect: suspect(7),
+            crashes: vec![CrashAge::default(); 2],
+            answered_ms: None,
         }],
         ..message
     };
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -1,5 +1,10 @@
 //! Tests of membership tables over a simulated network with loss, partitions and latency.
 
+#![allow(
+    clippy::print_stdout,
+    reason = "some tests print the figures that docs/ names"
+)]
+
 mod blocked_calls;
 mod brittle;
 mod crashes;
--- a/crates/barleyspool_ctl/src/explain_log.rs
+++ b/crates/barleyspool_ctl/src/explain_log.rs
@@ -26,6 +26,8 @@
 const CALL_BLOCKED: &str = "kept_away";
 /// The event of a target that crashed while running a call.
 const TARGET_CRASHED: &str = "target_ended";
+/// What precedes the key of a part of prompts in the field `suspect`.
+const SUSPECT_PART: &str = "part ";
 
 /// The event of a call that was refused because the targets of its service were at their rate limits.
 const TARGETS_AT_LIMIT: &str = "at_limit";
@@ -69,7 +71,8 @@
 
 /// The log lines with the id `id` from all files, by time. Two kinds of lines with other ids are included:
 /// - if the call was blocked because it crashes targets: the crashes under other attempts of the same call, which the
-///   caller sent under other ids and which have the same fingerprint (the field `print`),
+///   caller sent under other ids and which have the same fingerprint (the field `print`), or under calls with the same part
+///   in their prompts (the field `parts`), if that is what was blocked,
 /// - if it was refused at the rate limits: the last limit that each target of the service had reported by then.
 ///
 /// # Errors
@@ -82,18 +85,25 @@
         })
     };
     let texts: Vec<String> = files.iter().map(read).collect::<Result<_, _>>()?;
-    let lines_with = |value: &str, field: &str| -> Vec<LogLine> {
+    let lines_where = |text: &str, is_wanted: &dyn Fn(&LogLine) -> bool| -> Vec<LogLine> {
         let all_lines = texts.iter().flat_map(|text| text.lines());
         let lines = all_lines
-            .filter(|line| line.contains(value))
+            .filter(|line| line.contains(text))
             .filter_map(LogLine::parse);
-        lines.filter(|line| line.text_field(field) == value).collect()
+        lines.filter(|line| is_wanted(line)).collect()
     };
+    let lines_with = |value: &str, field: &str| lines_where(value, &|line| line.text_field(field) == value);
     let mut lines = lines_with(id, "id");
     let call_blocked = lines.iter().find(|line| line.event == CALL_BLOCKED);
-    if let Some(fingerprint) = call_blocked.map(|line| line.text_field("print").to_owned()) {
-        let same_call = lines_with(&fingerprint, "print").into_iter();
-        lines.extend(same_call.filter(|line| line.event == TARGET_CRASHED && line.text_field("id") != id));
+    if let Some(blocked) = call_blocked {
+        let crashes = match blocked.text_field("suspect").strip_prefix(SUSPECT_PART) {
+            Some(part) => lines_where(part, &|line| {
+                line.text_field("parts").split(',').any(|known| known == part)
+            }),
+            None => lines_with(blocked.text_field("print"), "print"),
+        };
+        let crashes = crashes.into_iter();
+        lines.extend(crashes.filter(|line| line.event == TARGET_CRASHED && line.text_field("id") != id));
     }
     let targets_at_limit = lines.iter().find(|line| line.event == TARGETS_AT_LIMIT);
     if let Some((service, at_ms)) =
@@ -159,8 +169,8 @@
     }
 }
 
-/// The targets that crashed while running this attempt or other attempts of the same call. Each attempt is one send of
-/// the call by its caller.
+/// The targets that crashed while running this attempt, other attempts of the same call, or calls with the same blocked part
+/// of a prompt. Each attempt is one send of the call by its caller.
 fn crashed_targets(lines: &[LogLine]) -> String {
     let crashes = lines.iter().filter(|line| line.event == TARGET_CRASHED);
     let ids: BTreeSet<&str> = crashes.map(|line| line.text_field("target")).collect();
@@ -168,7 +178,10 @@
         return String::new();
     }
     let ids: Vec<&str> = ids.into_iter().collect();
-    format!("; targets that crashed under the same call: {}", ids.join(", "))
+    format!(
+        "; targets that crashed under the same call or part: {}",
+        ids.join(", ")
+    )
 }
 
 /// The targets that reported a rate limit, with their limits in calls per second.
--- a/crates/barleyspool_ctl/tests/explain_log.rs
+++ b/crates/barleyspool_ctl/tests/explain_log.rs
@@ -91,6 +91,29 @@
     assert!(!text.contains("i-3"), "i-3 crashed under another call");
 }
 
+const PART_BLOCKED_LOG: &str = r#"{"at_ms":900,"node":"node-b","event":"target_ended","target":"i-1","id":"c7","print":"00ab","parts":"0a,0b","counts":true}
+{"at_ms":950,"node":"node-c","event":"target_ended","target":"i-2","id":"c8","print":"00cd","parts":"0b","counts":true}
+{"at_ms":960,"node":"node-c","event":"target_ended","target":"i-3","id":"c9","print":"00ef","parts":"0a,0bb","counts":true}
+{"at_ms":1000,"node":"node-a","event":"kept_away","id":"c1","print":"0012","suspect":"part 0b","wait_ms":29000}
+{"at_ms":1000,"node":"node-a","event":"ended","id":"c1","route":"r","status":503,"reason":"ends_targets","verdict":"not_run","step":"engines","peer":"","come_back_ms":29000,"took_ms":0}
+"#;
+
+// Guards against an explanation that names no crash, since no other call has the fingerprint of the blocked one.
+#[test]
+fn a_call_with_a_blocked_part_is_explained_by_the_crashes_under_calls_with_that_part() {
+    let log = write_log("part", PART_BLOCKED_LOG);
+    let output = run_command(&["explain-log", "c1"], &[&log]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let cause = text.lines().last().expect("a last line");
+    for word in ["ends_targets", "29000 ms", "i-1, i-2"] {
+        assert!(cause.contains(word), "{word} in: {cause}");
+    }
+    assert!(
+        !text.contains("i-3"),
+        "i-3 crashed under a call without that part"
+    );
+}
+
 const RATE_LIMITED_LOG: &str = r#"{"at_ms":700,"node":"node-b","event":"target_limit","target":"i-1","service":"engines","per_s":3.0,"id":"c7"}
 {"at_ms":800,"node":"node-c","event":"target_limit","target":"i-1","service":"engines","per_s":1.5,"id":"c8"}
 {"at_ms":900,"node":"node-c","event":"target_limit","target":"i-2","service":"engines","per_s":null,"id":"c9"}
--- a/crates/barleyspool_gateway/src/control/members.rs
+++ b/crates/barleyspool_gateway/src/control/members.rs
@@ -55,13 +55,8 @@
 ) {
     while let Some(observation) = observations.recv().await {
         state.step_members(match observation {
-            TargetObservation::Crashed {
-                fingerprint,
-                incarnation,
-            } => MemberEvent::Crashed {
-                fingerprint,
-                incarnation,
-            },
+            TargetObservation::Crashed(report) => MemberEvent::Crashed(report),
+            TargetObservation::Answered { suspect, at } => MemberEvent::Answered { suspect, at },
             TargetObservation::Leaving { incarnation } => MemberEvent::TargetLeaves { incarnation },
             TargetObservation::RateLimit { incarnation, per_s } => {
                 MemberEvent::LimitReceived { incarnation, per_s }
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -225,6 +225,7 @@
         };
         self.log.write(now, &event);
         self.shared.blocked_calls.store(Arc::new(blocked));
+        self.shared.blocked_changed.send_modify(|count| *count += 1);
     }
 
     fn publish_update_counts(&self) {
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -2,12 +2,13 @@
 //! never blocks a caller.
 
 use crate::LogSettings;
-use barleyspool_core::{CallFingerprint, Time};
+use barleyspool_core::{CallFingerprint, Suspect, Time};
 use serde::{Serialize, Serializer};
 use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{Logger, ThreadPool};
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -323,6 +324,9 @@
         /// The fingerprint of the call, equal for all its tries.
         #[serde(rename = "print", serialize_with = "as_text")]
         fingerprint: CallFingerprint,
+        /// What targets crashed of: the call, or a part of its prompt.
+        #[serde(serialize_with = "as_text")]
+        suspect: Suspect,
         /// Milliseconds until it may be sent to a target again.
         wait_ms: u64,
     },
@@ -495,8 +499,8 @@
 }
 
 /// Serializes a 64-bit number as text, since many JSON parsers keep only 53 bits.
-fn as_text<S: Serializer>(fingerprint: &CallFingerprint, serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.collect_str(fingerprint)
+fn as_text<T: Display, S: Serializer>(value: &T, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(value)
 }
 
 #[derive(Serialize)]
--- a/crates/barleyspool_gateway/src/gateway.rs
+++ b/crates/barleyspool_gateway/src/gateway.rs
@@ -76,6 +76,7 @@
             plan: ArcSwap::default(),
             plan_changed: watch::Sender::new(0),
             blocked_calls: ArcSwap::default(),
+            blocked_changed: watch::Sender::new(0),
             counters: ArcSwap::default(),
             queued_updates: AtomicUsize::new(0),
             outdated_suspicions: AtomicU64::new(0),
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -3,8 +3,8 @@
 use crate::settings::GatewaySettings;
 use arc_swap::ArcSwap;
 use barleyspool_core::{
-    BlockedCalls, CallFingerprint, Counters, ForwardPlan, IncarnationId, ServiceSet, StopPhase, StreamId,
-    StreamRecord, VersionId,
+    BlockedCalls, Counters, CrashReport, ForwardPlan, IncarnationId, ServiceSet, StopPhase, StreamId,
+    StreamRecord, Suspect, Time, VersionId,
 };
 use barleyspool_wire::Clock;
 use std::sync::Arc;
@@ -16,11 +16,13 @@
 #[derive(Clone, Debug)]
 pub enum TargetObservation {
     /// The target crashed while it processed a call.
-    Crashed {
-        /// The fingerprint of the call.
-        fingerprint: CallFingerprint,
-        /// The incarnation.
-        incarnation: IncarnationId,
+    Crashed(CrashReport),
+    /// A target has given a call a complete answer that has something in common with those under which targets crashed.
+    Answered {
+        /// What they have in common.
+        suspect: Suspect,
+        /// When.
+        at: Time,
     },
     /// An answer reported that the target is shutting down.
     Leaving {
@@ -67,8 +69,10 @@
     pub plan: ArcSwap<ForwardPlan>,
     /// Notifies the traffic thread that the plan was replaced.
     pub plan_changed: watch::Sender<u64>,
-    /// Calls that are not sent to targets for a while, because they have crashed targets.
+    /// Suspects of crashes, and which calls are not sent to targets for a while because of them.
     pub blocked_calls: ArcSwap<BlockedCalls>,
+    /// Notifies the traffic thread that the blocked calls were replaced.
+    pub blocked_changed: watch::Sender<u64>,
     /// The counters, as last published by the traffic thread.
     pub counters: ArcSwap<Counters>,
     /// The number of nodes whose updates wait to be sent to other nodes.
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -15,10 +15,11 @@
 use super::stopping;
 use super::stream_origins::{self, StreamOrigin, StreamVersion};
 use super::target_choice::{self, ReservedTarget};
+use super::target_crashes;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    CallFingerprint, CallHead, Catalog, Counter, Reason, Route, SendHistory, Span, StageProgress, TargetKey,
-    TargetQuery, Time, rendezvous,
+    CallFingerprint, CallHead, Catalog, Counter, PartId, Reason, Route, SendHistory, Span, StageProgress,
+    Suspect, TargetKey, TargetQuery, Time, rendezvous,
 };
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -64,6 +65,8 @@
     pub body: Bytes,
     /// The hash that all tries of this call share.
     pub fingerprint: CallFingerprint,
+    /// The parts of its prompt that other calls may share.
+    pub parts: Vec<PartId>,
     /// Counts the bytes of its body as held memory until the call is dropped.
     #[allow(dead_code, reason = "kept for its drop")]
     held: HeldBytes,
@@ -162,6 +165,7 @@
         traffic: Rc::clone(traffic),
         engine_memory: engine.map(|engine| engine.memory_tokens),
         can_copy_prefixes: engine.is_some_and(|engine| engine.copies),
+        parts: target_crashes::shared_parts(&service, &accepted.head),
         service,
         deadline: stopping::bound_deadline(traffic, arrived + max_wait(&accepted.head, &accepted.route)),
         fingerprint: call_fingerprint(&accepted, &parts, &body),
@@ -294,6 +298,11 @@
         self.sending.get() || self.history.get().may_have_run
     }
 
+    /// What a target that crashes under it may have crashed of.
+    pub fn suspects(&self) -> impl Iterator<Item = Suspect> + '_ {
+        target_crashes::suspects(self.fingerprint, &self.parts)
+    }
+
     /// The number of its next placement. Each placement has its own number, since the message that one has
     /// ended may arrive at the owner after the next request.
     pub fn next_placement(&self) -> u32 {
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -81,9 +81,9 @@
                 let end = SendEnd::Answered { success };
                 send.end(end);
                 record_end(call, end);
-                call.traffic
-                    .crashes
-                    .record_answered(call.traffic.now(), call.fingerprint);
+                if success {
+                    call.traffic.crashes.record_answered(call);
+                }
                 if step_after(call, end) != NextStep::Retry || !allow_retry(call, end) {
                     guard.record_first_output();
                     let response = buffered_response((call, guard), parts, body);
@@ -172,7 +172,7 @@
     if send.by_peer {
         return;
     }
-    target_crashes::check_target(call, &send.chosen, end);
+    target_crashes::check_target(call, send, end);
     // A single target that cannot be reached is most likely down, and another one can serve the call at once.
     if end == SendEnd::Unreachable && call.history.get().unreached > 0 {
         reach::wait_for_check(&call.traffic, &call.service).await;
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -197,10 +197,12 @@
     tasks.spawn_local(reach::watch(Rc::clone(&traffic)));
     traffic.shared.listening.store(true, Ordering::Relaxed);
     let mut plans = traffic.shared.plan_changed.subscribe();
+    let mut blocked = traffic.shared.blocked_changed.subscribe();
     let mut publish = tokio::time::interval(PUBLISH_INTERVAL);
     loop {
         tokio::select! {
             Ok(()) = plans.changed() => traffic.apply_plan(),
+            Ok(()) = blocked.changed() => traffic.crashes.report_answers(&traffic),
             () = tasks.watch() => {}
             _ = publish.tick() => {
                 traffic.connections.expire();
--- a/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
@@ -209,13 +209,14 @@
         }
         Ok(TargetAnswer::Buffered(parts, body, success)) => {
             send.end(SendEnd::Answered { success });
-            let traffic = &call.traffic;
-            traffic.crashes.record_answered(traffic.now(), call.fingerprint);
+            if success {
+                call.traffic.crashes.record_answered(call);
+            }
             final_send::buffered_response((call, guard), parts, body)
         }
         Err(end) => {
             send.end(end);
-            target_crashes::check_target(call, &send.chosen, end);
+            target_crashes::check_target(call, &send, end);
             return Err(PeerSendFailure::Ended { target, end });
         }
     };
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -4,6 +4,7 @@
 use super::callers::duration;
 use super::connections::{Connection, SendFailure};
 use super::pools::PoolId;
+use super::target_crashes::CrashedCall;
 use super::target_reports::{self, SentRequest};
 use crate::adapters::AnswerHead;
 use crate::event_log::LogEvent;
@@ -205,7 +206,7 @@
         Ok(answer) => answer,
         Err(_) => BatchAnswer::without_connection(BatchOutcome::BrokenOff),
     };
-    if answer.outcome == BatchOutcome::BrokenOff && has_crashed(&traffic, &call).await {
+    if answer.outcome == BatchOutcome::BrokenOff && has_crashed(&traffic, &call, started_at).await {
         answer.outcome = BatchOutcome::TargetCrashed;
     }
     let now = traffic.now();
@@ -228,7 +229,7 @@
 
 /// Whether the target of an interrupted batch call has crashed. A crash is recorded for every request that
 /// had pieces in the call.
-async fn has_crashed(traffic: &Rc<Traffic>, call: &BatchCall) -> bool {
+async fn has_crashed(traffic: &Rc<Traffic>, call: &BatchCall, sent_at: Time) -> bool {
     if !traffic
         .crashes
         .has_crashed(traffic, &call.id, &call.address)
@@ -239,9 +240,15 @@
     let requests = call
         .pieces
         .iter()
-        .map(|piece| (piece.request.as_str(), piece.fingerprint, ""));
-    for request in requests.collect::<HashSet<_>>() {
-        traffic.crashes.record_crash(traffic, &call.id, request);
+        .map(|piece| (piece.request.as_str(), piece.fingerprint));
+    for (id, fingerprint) in requests.collect::<HashSet<_>>() {
+        let crashed = CrashedCall {
+            id,
+            fingerprint,
+            parts: &[],
+            sent_at,
+        };
+        traffic.crashes.record_crash(traffic, &call.id, crashed);
     }
     true
 }
--- a/crates/barleyspool_gateway/src/traffic/send_guard.rs
+++ b/crates/barleyspool_gateway/src/traffic/send_guard.rs
@@ -6,7 +6,7 @@
 use super::target_choice;
 use crate::event_log::LogEvent;
 use crate::failure::CallFailure;
-use barleyspool_core::{Counter, SendEnd, SendKey, Span, TargetChoice, TargetKey};
+use barleyspool_core::{Counter, SendEnd, SendKey, Span, TargetChoice, TargetKey, Time};
 use std::rc::Rc;
 
 /// Tracks one send in the forwarder and in its placement. A send that is dropped before it ended, as when its
@@ -20,6 +20,8 @@
     placement: Option<Placement>,
     /// Whether another node sends the call for this one.
     pub by_peer: bool,
+    /// When the send began.
+    pub began_at: Time,
 }
 
 impl SendGuard {
@@ -36,6 +38,7 @@
             key: Some(key),
             placement,
             by_peer: false,
+            began_at: traffic.now(),
         }
     }
 
@@ -57,6 +60,7 @@
             key: None,
             placement: None,
             by_peer: true,
+            began_at: call.traffic.now(),
         }
     }
 
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -114,10 +114,7 @@
 async fn complete(mut relay: Relay, sender: &mpsc::Sender<RelayItem>) {
     relay.send.end(SendEnd::Answered { success: true });
     relay.guard.record_answer(relay.parts.status);
-    let traffic = &relay.call.traffic;
-    traffic
-        .crashes
-        .record_answered(traffic.now(), relay.call.fingerprint);
+    relay.call.traffic.crashes.record_answered(&relay.call);
     if let Some(connection) = relay.connection.take() {
         let keep_alive = relay.keep_alive.map(duration);
         relay.call.traffic.connections.add_idle(connection, keep_alive);
--- a/crates/barleyspool_gateway/src/traffic/target_crashes.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_crashes.rs
@@ -8,11 +8,13 @@
 use super::call::Call;
 use super::connections::Presence;
 use super::reach;
+use super::send_guard::SendGuard;
 use crate::event_log::LogEvent;
 use crate::failure::CallFailure;
 use crate::shared::TargetObservation;
 use barleyspool_core::{
-    AnsweredCalls, CallFingerprint, Counter, IncarnationId, Reason, SendEnd, Span, TargetChoice, Time,
+    AnsweredCalls, CallFingerprint, CallHead, Counter, CrashReport, IncarnationId, PartId, Reason, SendEnd,
+    Span, Suspect, SuspectView, Time,
 };
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -23,6 +25,8 @@
 /// How long the result of a port check is shared by all calls at that target. Their connections break within
 /// milliseconds of each other, and a crashed target is away for seconds.
 const PORT_CHECK_TTL: Span = Span::from_millis(200);
+/// Maximum number of parts of a prompt that are checked, the first ones.
+const MAX_PARTS: usize = 64;
 /// Number of port checks from which on expired ones are removed.
 const MAX_PORT_CHECKS: usize = 256;
 
@@ -51,9 +55,36 @@
         }
     }
 
-    /// Records that a target answered a call completely: the call does not crash targets.
-    pub fn record_answered(&self, now: Time, fingerprint: CallFingerprint) {
-        self.answered_calls.borrow_mut().insert(now, fingerprint);
+    /// Records that a target has given a call a complete and successful answer: neither the call nor a part of its prompt
+    /// crashes targets. A failure is no evidence, as a target may fail before it runs the call.
+    pub fn record_answered(&self, call: &Call) {
+        let traffic = &call.traffic;
+        let now = traffic.now();
+        let blocked = traffic.shared.blocked_calls.load();
+        for suspect in call.suspects() {
+            self.answered_calls.borrow_mut().insert(now, suspect);
+            self.report_answer(suspect, now, blocked.suspect(suspect));
+        }
+    }
+
+    /// Reports the answers of this node that show which suspects of crashes are harmless.
+    pub fn report_answers(&self, traffic: &Traffic) {
+        let now = traffic.now();
+        for (suspect, view) in traffic.shared.blocked_calls.load().suspects() {
+            let answered_at = self.answered_calls.borrow_mut().answered_at(now, suspect);
+            if let Some(at) = answered_at {
+                self.report_answer(suspect, at, Some(view));
+            }
+        }
+    }
+
+    fn report_answer(&self, suspect: Suspect, at: Time, view: Option<SuspectView>) {
+        if view.is_some_and(|view| view.is_news(at)) {
+            // The receiver, the control thread, is gone only when the process ends.
+            let _ = self
+                .observations
+                .send(TargetObservation::Answered { suspect, at });
+        }
     }
 
     /// Whether a target that broke a connection has crashed. The end of a target that is leaving is expected
@@ -71,37 +102,45 @@
         *presence.await == Presence::Refused && reach::reaches_any(traffic).await
     }
 
-    /// Records that a target crashed while it processed a call or a piece of one. It is passed on to the
-    /// control thread unless a target has answered the call before.
-    /// `parts` are the shared parts of its prompt, for the log.
-    pub fn record_crash(
-        &self,
-        traffic: &Traffic,
-        target: &str,
-        (id, fingerprint, parts): (&str, CallFingerprint, &str),
-    ) {
+    /// Records that a target crashed while it processed a call or a piece of one. It is passed on to the control thread as
+    /// evidence against the call and the shared parts of its prompt, except those that a target has answered since the call
+    /// was sent.
+    pub fn record_crash(&self, traffic: &Traffic, target: &str, crashed: CrashedCall) {
         let now = traffic.now();
         traffic.count(Counter::TargetCrashed);
-        let counts_against_call = !self.answered_calls.borrow_mut().contains(now, fingerprint);
-        let line = LogEvent::TargetCrashed {
-            target,
+        let CrashedCall {
             id,
             fingerprint,
             parts,
-            counts_against_call,
-        };
-        traffic.log.write(now, &line);
-        if !counts_against_call {
-            return;
-        }
+            sent_at,
+        } = crashed;
         let plan = traffic.plan();
         let incarnation = plan.targets.get(target).map_or(0, |entry| entry.incarnation.0);
         let incarnation = IncarnationId::of(target, incarnation);
-        // The receiver, the control thread, is gone only when the process ends.
-        let _ = self.observations.send(TargetObservation::Crashed {
+        let mut counts_against_call = false;
+        for suspect in suspects(fingerprint, parts) {
+            let answered_at = self.answered_calls.borrow_mut().answered_at(now, suspect);
+            if answered_at.is_some_and(|at| at >= sent_at) {
+                continue;
+            }
+            counts_against_call |= suspect == Suspect::Call(fingerprint);
+            let report = CrashReport {
+                suspect,
+                incarnation,
+                sent_at,
+                answered_at,
+            };
+            // The receiver, the control thread, is gone only when the process ends.
+            let _ = self.observations.send(TargetObservation::Crashed(report));
+        }
+        let line = LogEvent::TargetCrashed {
+            target,
+            id,
             fingerprint,
-            incarnation,
-        });
+            parts: &parts_text(parts),
+            counts_against_call,
+        };
+        traffic.log.write(now, &line);
     }
 
     fn port_check(&self, now: Time, target: &str) -> Rc<OnceCell<Presence>> {
@@ -121,46 +160,84 @@
     }
 }
 
+/// A call, or a piece of one, that a target was processing when it crashed.
+#[derive(Copy, Clone, Debug)]
+pub struct CrashedCall<'a> {
+    /// The id of the call.
+    pub id: &'a str,
+    /// Its fingerprint.
+    pub fingerprint: CallFingerprint,
+    /// The parts of its prompt that the target processed and other calls may share; none for a piece.
+    pub parts: &'a [PartId],
+    /// When it was sent to the target.
+    pub sent_at: Time,
+}
+
+/// The parts of a prompt that other calls may share: all but the last one.
+pub fn shared_parts(service: &str, head: &CallHead) -> Vec<PartId> {
+    let shared = head.prompt.len().saturating_sub(1).min(MAX_PARTS);
+    let parts = head.prompt[..shared].iter();
+    parts.map(|part| PartId::of(service, part.id)).collect()
+}
+
+/// What a target may have crashed of: a call with this fingerprint, or a part of its prompt.
+pub fn suspects(fingerprint: CallFingerprint, parts: &[PartId]) -> impl Iterator<Item = Suspect> + '_ {
+    let parts = parts.iter().map(|part| Suspect::Part(*part));
+    std::iter::once(Suspect::Call(fingerprint)).chain(parts)
+}
+
+fn parts_text(parts: &[PartId]) -> String {
+    let texts = parts.iter().map(|part| format!("{:016x}", part.0));
+    texts.collect::<Vec<_>>().join(",")
+}
+
 /// Starts a check whether a target crashed when a send of a call to it was interrupted. It runs in the
 /// background: the call is retried elsewhere meanwhile, where that is allowed.
-pub fn check_target(call: &Call, chosen: &TargetChoice, end: SendEnd) {
+pub fn check_target(call: &Call, send: &SendGuard, end: SendEnd) {
     if end != SendEnd::BrokenOff {
         return;
     }
     // Moves only the fields it needs: the call would keep its body in memory meanwhile.
     let (traffic, id, fingerprint) = (Rc::clone(&call.traffic), call.head.id.clone(), call.fingerprint);
-    let (chosen, parts) = (chosen.clone(), call.head.shared_parts_text());
+    let (chosen, parts, sent_at) = (send.chosen.clone(), call.parts.clone(), send.began_at);
     spawn_local(async move {
         let crashed = traffic.crashes.has_crashed(&traffic, &chosen.id, &chosen.address);
         if crashed.await {
-            traffic
-                .crashes
-                .record_crash(&traffic, &chosen.id, (&id, fingerprint, &parts));
+            let call = CrashedCall {
+                id: &id,
+                fingerprint,
+                parts: &parts,
+                sent_at,
+            };
+            traffic.crashes.record_crash(&traffic, &chosen.id, call);
         }
     });
 }
 
-/// Refuses a call that has crashed targets.
+/// Refuses a call that has crashed targets, or whose prompt has a part that has.
 ///
 /// # Errors
 /// When the call is blocked for a while. Nothing of it has run unless an earlier send of this try may have.
 pub fn check_blocked(call: &Call) -> Result<(), CallFailure> {
     let traffic = &call.traffic;
     let now = traffic.now();
-    let Some(wait) = traffic.shared.blocked_calls.load().wait(now, call.fingerprint) else {
-        return Ok(());
+    let blocked = traffic.shared.blocked_calls.load();
+    let mut answered_calls = traffic.crashes.answered_calls.borrow_mut();
+    let mut wait_of = |suspect: Suspect| {
+        let wait = blocked.wait(now, suspect)?;
+        // Other nodes may not know the answers of this one yet.
+        let answered_at = answered_calls.answered_at(now, suspect);
+        let last_crash = blocked.suspect(suspect).map(|view| view.last_crash);
+        let is_harmless = answered_at > last_crash;
+        (!is_harmless).then_some((wait, suspect))
     };
-    if traffic
-        .crashes
-        .answered_calls
-        .borrow_mut()
-        .contains(now, call.fingerprint)
-    {
+    let Some((wait, suspect)) = call.suspects().filter_map(&mut wait_of).max() else {
         return Ok(());
-    }
+    };
     let line = LogEvent::CallBlocked {
         id: &call.head.id,
         fingerprint: call.fingerprint,
+        suspect,
         wait_ms: wait.as_millis(),
     };
     traffic.log.write(now, &line);
