An answer that ends with its connection is not whole when its target has crashed

An answer may have neither a length nor chunks and end with its connection. A target that crashes between two events of such a stream, or within such a body, seemed to have answered whole: callers got a part of an answer as all of it, a stream that may be resumed ended early, and the answer spoke for the part of a prompt that crashed the target. Cause: the end of a connection was taken for the end of an answer, whoever ended it. A node now looks whether the target still listens before it marks the end of such an answer; what has come is passed on meanwhile.

--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -9,10 +9,10 @@
 use super::peer_send;
 use super::reach;
 use super::send_guard::SendGuard;
-use super::send_request::{answer_parts, request};
+use super::send_request::{answer_parts, ends_with_connection, request};
 use super::stage_results::StageResults;
 use super::stream_relay::{self, Relay};
-use super::target_crashes;
+use super::target_crashes::{self, ended_by_crash};
 use super::target_reports::{self, SentRequest};
 use crate::adapters::AnswerHead;
 use crate::event_log::LogEvent;
@@ -147,6 +147,7 @@
         send,
         connection: Some(connection),
         keep_alive: head.keep_alive,
+        unframed: ends_with_connection(&parts),
         parts: answer_parts(parts),
         body: Some(body),
         results,
@@ -299,7 +300,12 @@
         by_peer: false,
     };
     let head = target_reports::read_head(traffic, sent_request, &parts);
-    read_answer(call, connection, parts, body, head).await
+    let is_unframed = ends_with_connection(&parts);
+    let answer = read_answer(call, connection, parts, body, head).await?;
+    if is_unframed && matches!(answer, TargetAnswer::Buffered(..)) && ended_by_crash(call, send).await {
+        return Err(SendEnd::BrokenOff);
+    }
+    Ok(answer)
 }
 
 /// Reads an answer whose header has been received, as [`send_once`] does.
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -9,6 +9,7 @@
 use super::final_send::{self, TargetAnswer};
 use super::relayed_stream::{RelayItem, RelayedStream};
 use super::send_guard::SendGuard;
+use super::send_request::ends_with_connection;
 use super::stage_results::StageResults;
 use super::stages;
 use super::stopping;
@@ -47,6 +48,9 @@
     pub connection: Option<Connection>,
     /// How long the target keeps the idle connection open.
     pub keep_alive: Option<Span>,
+    /// Whether the stream ends with the connection to the target, by which it cannot be told from one that was broken off
+    /// between two events.
+    pub unframed: bool,
     /// The status and headers of the answer.
     pub parts: Parts,
     /// The body that the target streams.
@@ -150,7 +154,7 @@
             () = &mut abort => return StreamEnd::Stopped,
         };
         let data = match frame {
-            None if relayed.is_between_events() => return StreamEnd::Complete,
+            None if relayed.is_between_events() => return end_of_body(relay).await,
             None | Some(Err(_)) => return StreamEnd::Interrupted,
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => data,
@@ -181,6 +185,15 @@
     }
 }
 
+/// The end of a stream whose body ended between two events.
+async fn end_of_body(relay: &Relay) -> StreamEnd {
+    if relay.unframed && target_crashes::ended_by_crash(&relay.call, &relay.send).await {
+        StreamEnd::Interrupted
+    } else {
+        StreamEnd::Complete
+    }
+}
+
 async fn next_frame(body: &mut Option<Incoming>) -> Option<hyper::Result<Frame<Bytes>>> {
     match body {
         Some(body) => body.frame().await,
@@ -223,9 +236,10 @@
         let sent = final_send::send_once(&call, &mut relay.send, &relay.inputs, relayed.event).await;
         let mut history = call.history.get();
         match sent {
-            Ok(TargetAnswer::Stream(_, body, connection, head)) => {
+            Ok(TargetAnswer::Stream(parts, body, connection, head)) => {
                 history.record_end(SendEnd::Answered { success: true });
                 call.history.set(history);
+                relay.unframed = ends_with_connection(&parts);
                 relay.body = Some(body);
                 relay.connection = Some(connection);
                 relay.keep_alive = head.keep_alive;
--- a/crates/barleyspool_gateway/src/traffic/target_crashes.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_crashes.rs
@@ -160,6 +160,15 @@
     }
 }
 
+/// Whether an answer that ended with its connection ended because its target crashed. Such an answer looks whole, but is
+/// not, and says nothing for its call.
+pub async fn ended_by_crash(call: &Call, send: &SendGuard) -> bool {
+    let (traffic, chosen) = (&call.traffic, &send.chosen);
+    // A node that sends the call for this one checks its target itself, and marks the end of the answer.
+    let crashes = &traffic.crashes;
+    !send.by_peer && crashes.has_crashed(traffic, &chosen.id, &chosen.address).await
+}
+
 /// A call, or a piece of one, that a target was processing when it crashed.
 #[derive(Copy, Clone, Debug)]
 pub struct CrashedCall<'a> {
