A stream may be resumed more than once within one answer

A stream that a second target broke off was given up: whether the target that began it had restarted was asked of the target that was sent to last, whose incarnation is always another one. The place where the stream began is kept as a whole now (Beginning). The crash table skips records with too few crashes before it counts them.

--- a/crates/barleyspool_core/src/crashes/crash_record.rs
+++ b/crates/barleyspool_core/src/crashes/crash_record.rs
@@ -84,6 +84,9 @@
 
     /// Whether all nodes have to know the suspect.
     pub(super) fn is_shared(&self, now: Time, policy: &BlockPolicy) -> bool {
+        if self.crashes.len() < policy.shared_from && self.shared_at.is_none() {
+            return false;
+        }
         let was_shared = self.shared_at.is_some_and(|at| now.since(at) < SHARED_RETENTION);
         (self.count(policy) >= policy.shared_from && self.retained_until(policy) > now) || was_shared
     }
--- a/crates/barleyspool_gateway/src/traffic/stream_origins.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_origins.rs
@@ -34,22 +34,34 @@
     pub version: VersionId,
 }
 
-/// A stream that began at a target which may restart under the same id.
+/// Where and when the first event of a stream came from.
 #[derive(Clone, Debug)]
-struct RecentStream {
-    began_at: Time,
-    stream: StreamId,
+struct Beginning {
+    at: Time,
     target: String,
     incarnation: IncarnationId,
 }
 
+impl Beginning {
+    /// Whether the target has turned out to have restarted about when the stream began.
+    fn is_doubtful(&self, plan: &ForwardPlan) -> bool {
+        let Some(entry) = plan.targets.get(&self.target) else {
+            return false;
+        };
+        let restarted_at = entry.times.restarted_at;
+        entry.incarnation_id() != self.incarnation
+            && restarted_at > self.at
+            && restarted_at.since(self.at) < RESTART_REPORT_DELAY
+    }
+}
+
 /// Reports the streams that this node relays, and asks for those of others.
 #[derive(Debug)]
 pub struct StreamOrigins {
     observations: mpsc::UnboundedSender<TargetObservation>,
     queries: mpsc::UnboundedSender<StreamQuery>,
     /// Streams whose target may turn out to have restarted before they began, in the order in which they did.
-    recent: RefCell<VecDeque<RecentStream>>,
+    recent: RefCell<VecDeque<(StreamId, Beginning)>>,
 }
 
 impl StreamOrigins {
@@ -74,18 +86,17 @@
     /// Withdraws the versions of streams whose targets have turned out to have restarted about when they began.
     pub fn apply_plan(&self, now: Time, plan: &ForwardPlan) {
         let mut recent = self.recent.borrow_mut();
-        while let Some(first) = recent.front()
-            && now.since(first.began_at) >= RESTART_REPORT_DELAY
+        while let Some((_, first)) = recent.front()
+            && now.since(first.at) >= RESTART_REPORT_DELAY
         {
             recent.pop_front();
         }
-        recent.retain(|began| {
-            let entry = plan.targets.get(&began.target);
-            let restarted = entry.is_some_and(|entry| entry.incarnation_id() != began.incarnation);
-            if restarted {
-                self.report(began.stream, None);
+        recent.retain(|(stream, beginning)| {
+            let is_doubtful = beginning.is_doubtful(plan);
+            if is_doubtful {
+                self.report(*stream, None);
             }
-            !restarted
+            !is_doubtful
         });
     }
 
@@ -100,7 +111,7 @@
 #[derive(Debug, Default)]
 pub struct StreamVersion {
     version: Cell<Option<VersionId>>,
-    began: Cell<Option<(Time, IncarnationId)>>,
+    beginning: RefCell<Option<Beginning>>,
     reported_at: Cell<Time>,
 }
 
@@ -120,14 +131,17 @@
     pub fn record_event(&self, call: &Call, chosen: &TargetChoice) {
         let traffic = &call.traffic;
         let now = traffic.now();
-        if self.began.get().is_none() {
-            let incarnation = incarnation(traffic, &chosen.id);
-            self.began.set(Some((now, incarnation)));
-            let version = self.version.get().or(chosen.version);
-            self.version.set(version);
+        if self.beginning.borrow().is_none() {
+            let beginning = Beginning {
+                at: now,
+                target: chosen.id.clone(),
+                incarnation: incarnation(traffic, &chosen.id),
+            };
+            self.version.set(self.version.get().or(chosen.version));
             if call.head.resume_after.is_none() {
-                note_recent(call, chosen, incarnation);
+                note_recent(call, &beginning);
             }
+            *self.beginning.borrow_mut() = Some(beginning);
         } else if now.since(self.reported_at.get()) < REPORT_INTERVAL {
             return;
         }
@@ -140,15 +154,11 @@
     }
 
     /// Whether the stream may go on: its version is known, or none of its events has reached the caller.
-    pub fn may_resume(&self, call: &Call, chosen: &TargetChoice) -> bool {
-        let Some((began_at, began_as)) = self.began.get() else {
-            return true;
-        };
-        let is_doubtful = call.traffic.plan().targets.get(&chosen.id).is_some_and(|entry| {
-            entry.incarnation_id() != began_as
-                && entry.times.restarted_at.since(began_at) < RESTART_REPORT_DELAY
-        });
-        self.version.get().is_some() && !is_doubtful
+    pub fn may_resume(&self, plan: &ForwardPlan) -> bool {
+        match &*self.beginning.borrow() {
+            Some(beginning) => self.version.get().is_some() && !beginning.is_doubtful(plan),
+            None => true,
+        }
     }
 }
 
@@ -159,22 +169,15 @@
 }
 
 /// Remembers a stream of a target whose entry names an incarnation. Other targets have a new id after each restart.
-fn note_recent(call: &Call, chosen: &TargetChoice, incarnation: IncarnationId) {
+fn note_recent(call: &Call, beginning: &Beginning) {
     let traffic = &call.traffic;
     let plan = traffic.plan();
-    if plan
-        .targets
-        .get(&chosen.id)
-        .is_none_or(|entry| entry.incarnation.0 == 0)
-    {
-        return;
+    let entry = plan.targets.get(&beginning.target);
+    if entry.is_some_and(|entry| entry.incarnation.0 != 0) {
+        let stream = StreamId::of(&call.head.id);
+        let mut recent = traffic.streams.recent.borrow_mut();
+        recent.push_back((stream, beginning.clone()));
     }
-    traffic.streams.recent.borrow_mut().push_back(RecentStream {
-        began_at: traffic.now(),
-        stream: StreamId::of(&call.head.id),
-        target: chosen.id.clone(),
-        incarnation,
-    });
 }
 
 /// Finds where the stream that a call takes up has to go on; `None` if the call takes up no stream.
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -219,7 +219,7 @@
             end,
         );
         if step != NextStep::Retry
-            || !call.stream_version.may_resume(&call, &relay.send.chosen)
+            || !call.stream_version.may_resume(&call.traffic.plan())
             || !final_send::allow_retry(&call, end)
         {
             return false;
