A call whose only suitable targets are in quarantine is sent to them

Cause: the cap on quarantines counts all targets of a service. With two of each of two versions it lets both targets of one version be out of use; a stream may not go elsewhere. The same holds where the other half is leaving or belongs to another shard. Ruled out: lost datagrams and the lookup of the version (one node, one answer), the retry budget (the refusals are no_target, the quarantine lines name both targets of one version in every failed run).

Change: a call that finds all suitable targets in quarantine or on trial goes to one of them. A quarantine only directs calls to better targets. A cap for each version was weighed: it never leaves out the only target of a version, so that all other calls go on to meet it while it is down.

Red before, without processes: software_versions::a_call_is_sent_although_all_targets_of_its_version_are_in_quarantine (Busy) and forward_choice::targets_in_quarantine_are_used_while_the_others_are_leaving (no target).

--- a/crates/barleyspool_core/src/forward/target_choice.rs
+++ b/crates/barleyspool_core/src/forward/target_choice.rs
@@ -53,14 +53,15 @@
         let mut usable: Vec<TargetKey> = Vec::with_capacity(keys.len());
         for key in &keys {
             if let Some(record) = self.targets.get_mut(*key)
-                && query.placing.is_none_or(|shard| shard.holds(record.hash))
-                && query.accepts_version(&record.entry)
+                && query.accepts(now, record)
                 && record.usable(now, &self.chart)
-                && (query.for_other_node || record.cooldown(now) == Span::ZERO)
             {
                 usable.push(*key);
             }
         }
+        if usable.is_empty() {
+            usable = self.suspended_targets(now, query);
+        }
         // So far the targets are usable apart from their rate limits; these are applied next.
         let capacity = self.retain_with_capacity(now, query, &mut usable);
         self.retain_with_room(now, query, &mut usable);
@@ -91,6 +92,26 @@
         )
     }
 
+    /// The targets for a call if all that could answer it are in quarantine or on trial, and none otherwise. The cap on
+    /// quarantines leaves half of a service's targets, which may all be unsuitable for the call. Quarantine only directs
+    /// calls to better targets, so it does not apply where there are none.
+    pub(super) fn suspended_targets(&self, now: Time, query: &TargetQuery) -> Vec<TargetKey> {
+        let keys = self.by_service.get(&query.service).into_iter().flatten();
+        let suitable = keys.filter_map(|key| Some((*key, self.targets.get(*key)?)));
+        let suitable =
+            suitable.filter(|(_, record)| query.accepts(now, record) && record.entry.accepts_work());
+        let mut suspended = Vec::new();
+        for (key, record) in suitable {
+            if !record.is_suspended() {
+                return Vec::new();
+            }
+            if now >= record.full_until {
+                suspended.push(key);
+            }
+        }
+        suspended
+    }
+
     /// Chooses the target for a call that this node places for itself or another node, and counts the
     /// call against the target's rate limit if it has one.
     pub fn place(&mut self, now: Time, query: &TargetQuery, asker: u64) -> ChooseResult {
--- a/crates/barleyspool_core/src/forward/target_query.rs
+++ b/crates/barleyspool_core/src/forward/target_query.rs
@@ -1,7 +1,7 @@
 //! What a call requires of its target, and the result of the choice.
 
-use super::{TargetEntry, TargetKey};
-use crate::{Span, VersionId, rendezvous};
+use super::{TargetEntry, TargetKey, TargetRecord};
+use crate::{Span, Time, VersionId, rendezvous};
 
 /// What a call requires of its target.
 #[derive(Clone, Debug, Default)]
@@ -42,6 +42,14 @@
     pub fn accepts_version(&self, entry: &TargetEntry) -> bool {
         self.version.is_none_or(|version| version == entry.version_id())
     }
+
+    /// Whether a target suits the call, whatever its state: it belongs to the shard, has the version, and is in no cooldown
+    /// that applies to the call.
+    pub(super) fn accepts(&self, now: Time, record: &TargetRecord) -> bool {
+        self.placing.is_none_or(|shard| shard.holds(record.hash))
+            && self.accepts_version(&record.entry)
+            && (self.for_other_node || record.cooldown(now) == Span::ZERO)
+    }
 }
 
 /// One of `of` disjoint parts of the targets of a service.
--- a/crates/barleyspool_core/src/forward/target_record.rs
+++ b/crates/barleyspool_core/src/forward/target_record.rs
@@ -117,6 +117,11 @@
         phase_allows && self.entry.accepts_work() && now >= self.full_until
     }
 
+    /// Whether the target is in quarantine, or on trial after it.
+    pub fn is_suspended(&self) -> bool {
+        matches!(self.phase, TargetPhase::Quarantined | TargetPhase::Trial)
+    }
+
     /// The current estimate of the slowness; without measurements it decays towards `unmeasured`.
     ///
     /// Measurements are relative to an average of the service, and often below the expected time. A
--- a/crates/barleyspool_core/tests/forward_choice.rs
+++ b/crates/barleyspool_core/tests/forward_choice.rs
@@ -128,6 +128,27 @@
     ));
 }
 
+// Guards against calls that are refused because the targets outside quarantine, at least half of all, are leaving.
+#[test]
+fn targets_in_quarantine_are_used_while_the_others_are_leaving() {
+    let mut forwarder = forwarder(1, 4);
+    for id in ["i-1", "i-3"] {
+        let target = forwarder.key(id).expect("the target is listed");
+        let send = forwarder.begin(at(0), &query(), target);
+        assert!(forwarder.end(at(0), send, SendEnd::Unreachable), "in quarantine");
+    }
+    assert!(["i-0", "i-2"].contains(&choose(&mut forwarder, at(1), &query()).id.as_str()));
+    let mut leaving = table(4);
+    for id in ["i-0", "i-2"] {
+        leaving.get_mut(id).expect("the target is listed").leaving = true;
+    }
+    forwarder.apply_plan(&plan(leaving));
+    for ms in 1..1000 {
+        let chosen = choose(&mut forwarder, at(ms), &query());
+        assert!(["i-1", "i-3"].contains(&chosen.id.as_str()), "{}", chosen.id);
+    }
+}
+
 #[test]
 fn a_leaving_or_unlisted_target_gets_no_calls() {
     let mut forwarder = forwarder(1, 2);
--- a/crates/barleyspool_core/tests/software_versions.rs
+++ b/crates/barleyspool_core/tests/software_versions.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
 use barleyspool_core::{
-    ChooseResult, ForwardPlan, ForwardSettings, Forwarder, STREAM_RETENTION, Span, StreamId, StreamRecord,
-    StreamTable, TargetChoice, TargetEntry, TargetQuery, TargetTable, Time, VersionId,
+    ChooseResult, ForwardPlan, ForwardSettings, Forwarder, STREAM_RETENTION, SendEnd, Span, StreamId,
+    StreamRecord, StreamTable, TargetChoice, TargetEntry, TargetQuery, TargetTable, Time, VersionId,
 };
 use std::sync::Arc;
 
@@ -81,6 +81,42 @@
     );
 }
 
+// Guards against streams that are refused while targets of their version serve: the cap on quarantines counts the targets of
+// all versions, so that all of one version may be in quarantine.
+#[test]
+fn a_call_is_sent_although_all_targets_of_its_version_are_in_quarantine() {
+    for engine_memory in [None, Some(600_000)] {
+        let mut forwarder = forwarder(&[entry(1, "v1"), entry(2, "v2"), entry(3, "v1"), entry(4, "v2")]);
+        let now = Time::from_millis(10);
+        let query = TargetQuery {
+            engine_memory,
+            ..query(Some("v1"))
+        };
+        for id in ["i-1", "i-3"] {
+            let target = forwarder.key(id).expect("the target is listed");
+            let send = forwarder.begin(now, &query, target);
+            assert!(forwarder.end(now, send, SendEnd::Unreachable), "in quarantine");
+        }
+        let any_version = TargetQuery {
+            version: None,
+            ..query.clone()
+        };
+        for ms in 11..1000 {
+            let now = Time::from_millis(ms);
+            let chosen = choose(&mut forwarder, now, &query);
+            assert!(["i-1", "i-3"].contains(&chosen.id.as_str()), "{}", chosen.id);
+            let usable = forwarder.usable(now, &query, &chosen.id);
+            assert!(usable.is_some(), "the chosen target may be used");
+            forwarder.begin(now, &query, chosen.target);
+            // Other calls avoid them during the quarantine.
+            if ms < 400 {
+                let other = choose(&mut forwarder, now, &any_version);
+                assert!(["i-2", "i-4"].contains(&other.id.as_str()), "{}", other.id);
+            }
+        }
+    }
+}
+
 // Guards against a prefix that an engine copies from one of another version.
 #[test]
 fn a_prefix_is_copied_from_engines_of_the_same_version_only() {
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -235,7 +235,7 @@
     let usable = traffic
         .forwarder
         .borrow_mut()
-        .usable(traffic.now(), &placed.target);
+        .usable(traffic.now(), &call.target_query(), &placed.target);
     let Some(mut chosen) = usable else {
         return PlaceResult::NotPlaced;
     };
--- a/crates/barleyspool_gateway/src/traffic/target_choice.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_choice.rs
@@ -189,7 +189,8 @@
         timer::sleep(duration(wait)).await;
     }
     let now = traffic.now();
-    let usable = traffic.forwarder.borrow_mut().usable(now, &chosen.id).is_some();
+    let mut forwarder = traffic.forwarder.borrow_mut();
+    let usable = forwarder.usable(now, &call.target_query(), &chosen.id).is_some();
     usable && (!chosen.rate_limited || now.since(due) < MAX_SEND_DELAY)
 }
 
