A stream asks the owners of shards with engines of its version

What callers would see: a stream of one version is refused while engines of that version serve. An owner that has none of the version answers so, and the node then chose among its own targets, where engines with a rate limit (a cold start) are left out, since only the owner of their shard may grant calls to them. Other owners were asked only after an answer that there is no capacity. It takes more than 32 engines in a service, so that they are split into shards.

Ruled out: the lookup of the version (the streams go on where their shard is asked first).

Change: a call that needs a version asks only the owners of shards with such targets (shards_to_ask); other calls ask as before.

--- a/crates/barleyspool_core/src/forward/target_choice.rs
+++ b/crates/barleyspool_core/src/forward/target_choice.rs
@@ -2,7 +2,8 @@
 
 use super::target_record::EXPECTED_SLOWNESS;
 use super::{
-    ChooseResult, Forwarder, NO_CAPACITY_TTL, TargetChoice, TargetKey, TargetQuery, TargetRecord, shard_key,
+    ChooseResult, Forwarder, NO_CAPACITY_TTL, Shard, TargetChoice, TargetKey, TargetQuery, TargetRecord,
+    shard_key,
 };
 use crate::{Span, Time, rendezvous};
 use rand::Rng;
@@ -112,6 +113,25 @@
         suspended
     }
 
+    /// The shards whose owners may place a call, in the order in which they are asked, from `first` on: all of them, or those
+    /// with targets of the version that the call needs.
+    pub fn shards_to_ask(&self, query: &TargetQuery, first: Shard) -> Vec<Shard> {
+        let shards = (0..first.of).map(|offset| Shard {
+            number: (first.number + offset) % first.of,
+            of: first.of,
+        });
+        if query.version.is_none() {
+            return shards.collect();
+        }
+        let keys = self.by_service.get(&query.service).into_iter().flatten();
+        let records: Vec<&TargetRecord> = keys
+            .filter_map(|key| self.targets.get(*key))
+            .filter(|record| record.entry.accepts_work() && query.accepts_version(&record.entry))
+            .collect();
+        let holds_one = |shard: &Shard| records.iter().any(|record| shard.holds(record.hash));
+        shards.filter(holds_one).collect()
+    }
+
     /// Chooses the target for a call that this node places for itself or another node, and counts the
     /// call against the target's rate limit if it has one.
     pub fn place(&mut self, now: Time, query: &TargetQuery, asker: u64) -> ChooseResult {
--- a/crates/barleyspool_core/tests/software_versions.rs
+++ b/crates/barleyspool_core/tests/software_versions.rs
@@ -3,8 +3,9 @@
 #![allow(clippy::expect_used, clippy::panic, reason = "a test stops where it fails")]
 
 use barleyspool_core::{
-    ChooseResult, ForwardPlan, ForwardSettings, Forwarder, STREAM_RETENTION, SendEnd, Span, StreamId,
+    ChooseResult, ForwardPlan, ForwardSettings, Forwarder, STREAM_RETENTION, SendEnd, Shard, Span, StreamId,
     StreamRecord, StreamTable, TargetChoice, TargetEntry, TargetQuery, TargetTable, Time, VersionId,
+    rendezvous,
 };
 use std::sync::Arc;
 
@@ -117,6 +118,31 @@
     }
 }
 
+// Guards against a call that asks only owners of shards without targets of its version.
+#[test]
+fn a_call_that_needs_a_version_asks_the_shards_that_have_it() {
+    let entries: Vec<TargetEntry> = (0..40)
+        .map(|id| entry(id, if id < 2 { "v2" } else { "v1" }))
+        .collect();
+    let forwarder = forwarder(&entries);
+    let of = 8;
+    let holding: Vec<u32> = (0..2)
+        .map(|id| Shard::number_of(rendezvous::text_key(&format!("i-{id}")), of))
+        .collect();
+    for number in 0..of {
+        let first = Shard { number, of };
+        let asked = forwarder.shards_to_ask(&query(Some("v2")), first);
+        assert!(asked.iter().all(|shard| holding.contains(&shard.number)));
+        assert!(
+            holding
+                .iter()
+                .all(|number| asked.contains(&Shard { number: *number, of }))
+        );
+        assert_eq!(forwarder.shards_to_ask(&query(None), first).len(), of as usize);
+        assert_eq!(forwarder.shards_to_ask(&query(None), first)[0], first);
+    }
+}
+
 // Guards against a prefix that an engine copies from one of another version.
 #[test]
 fn a_prefix_is_copied_from_engines_of_the_same_version_only() {
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -173,11 +173,12 @@
         .forwarder
         .borrow()
         .all_rate_limited(traffic.now(), &query.service);
+    let shards = traffic.forwarder.borrow().shards_to_ask(&query, first_shard);
     let mut shortest_wait: Option<Span> = None;
-    for offset in 0..first_shard.of {
+    for shard in shards {
         let id = PoolId {
             service: query.service.clone(),
-            shard: (first_shard.number + offset) % first_shard.of,
+            shard: shard.number,
         };
         let place = traffic
             .peers
