A placement at a target of another version is not used

What callers would see: a stream with events of two versions. An owner with an older list places it at a target that has restarted under its id with another version, and the node that asked, whose list is newer, checked only whether the target may be used at all.

Red before: software_versions::a_placement_at_a_target_of_another_version_is_not_used (core).

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -237,12 +237,15 @@
         self.targets.values()
     }
 
-    /// The target with this id, if this node may send the call to it at `now`: [`TargetRecord::usable`] holds, or there is
-    /// no better target for the call, and the target is not in a cooldown. Its rate limit is not checked.
+    /// The target with this id, if this node may send the call to it at `now`: it has the version that the call needs,
+    /// [`TargetRecord::usable`] holds, or there is no better target for the call, and the target is not in a cooldown. Its
+    /// rate limit is not checked.
     pub fn usable(&mut self, now: Time, query: &TargetQuery, id: &str) -> Option<TargetChoice> {
         let key = *self.by_id.get(id)?;
         let record = self.targets.get_mut(key)?;
-        let usable = record.usable(now, &self.chart) && record.cooldown(now) == Span::ZERO;
+        let usable = query.accepts_version(&record.entry)
+            && record.usable(now, &self.chart)
+            && record.cooldown(now) == Span::ZERO;
         let usable = usable || self.suspended_targets(now, query).contains(&key);
         let record = self.targets.get(key)?;
         usable.then(|| TargetChoice {
--- a/crates/barleyspool_core/tests/software_versions.rs
+++ b/crates/barleyspool_core/tests/software_versions.rs
@@ -118,6 +118,17 @@
     }
 }
 
+// Guards against a stream that goes on at another version since the owner that placed it has an older list: the target has
+// restarted under its id.
+#[test]
+fn a_placement_at_a_target_of_another_version_is_not_used() {
+    let mut forwarder = forwarder(&[entry(1, "v2"), entry(2, "v1")]);
+    let now = Time::from_millis(10);
+    assert!(forwarder.usable(now, &query(Some("v1")), "i-1").is_none());
+    assert!(forwarder.usable(now, &query(Some("v1")), "i-2").is_some());
+    assert!(forwarder.usable(now, &query(None), "i-1").is_some());
+}
+
 // Guards against a call that asks only owners of shards without targets of its version.
 #[test]
 fn a_call_that_needs_a_version_asks_the_shards_that_have_it() {
