Tests of links between nodes that drop everything in one direction

Virtual time, 30, 86 and 410 nodes, cut 20 ms to 4 s before a change: from or to all readers, from those of a zone, from or to a follower. All nodes have the change within 2 s; a follower from which nothing arrives is tested up to 86 nodes, as at 410 the reads of nodes that are behind are spread over 2.7 s by design. No fault was found; none of these tests was red on the product. The simulated fleet now reads the source when a node stays behind, as the gateway does, and a request to a node needs both directions: without the first, the last case failed, and that was the simulation's doing. Real processes: datagrams go directly between nodes, and no test of ours can drop them one way.

--- a/crates/barleyspool_core/tests/source_reading/fleet.rs
+++ b/crates/barleyspool_core/tests/source_reading/fleet.rs
@@ -134,6 +134,24 @@
         self.net.cut_between(&[name], &others);
     }
 
+    /// Drops all datagrams from `one` to the nodes outside `one`; those in the other direction arrive.
+    pub fn cut_from(&mut self, one: &[String]) {
+        self.cut_one_way(one, |from, to| (from, to));
+    }
+
+    /// Drops all datagrams to `one` from the nodes outside `one`; those in the other direction arrive.
+    pub fn cut_to(&mut self, one: &[String]) {
+        self.cut_one_way(one, |from, to| (to, from));
+    }
+
+    fn cut_one_way(&mut self, one: &[String], link: impl Fn(String, String) -> (String, String)) {
+        let others: Vec<&String> = self.nodes.keys().filter(|name| !one.contains(name)).collect();
+        for name in one {
+            let links = others.iter().map(|other| link(name.clone(), (*other).clone()));
+            self.net.cut.extend(links);
+        }
+    }
+
     /// Cuts the links between every second node and the rest; returns the former.
     pub fn partition(&mut self) -> Vec<String> {
         let names: Vec<String> = self.nodes.keys().cloned().collect();
@@ -280,6 +298,9 @@
         if !node.watch.is_reader() && node.watch.reads(now) {
             node.needs_full_read = true;
         }
+        if node.watch.take_overdue(now).is_some() {
+            node.needs_full_read = true;
+        }
         let converged = self.net.nodes[name].converged(now);
         let needs_source = node.needs_full_read || (node.watch.is_reader() && converged);
         let changed = node.watching
@@ -340,7 +361,9 @@
         let members = self.net.nodes[name].members();
         let mut newer_peers = members.filter(|member| {
             let address = &member.facts.address;
-            let reachable = !self.net.cut.contains(&(name.to_owned(), address.clone()));
+            let passes = |from: &str, to: &str| !self.net.cut.contains(&(from.to_owned(), to.to_owned()));
+            // A request needs both directions.
+            let reachable = passes(name, address) && passes(address, name);
             reachable && !self.net.asleep.contains(address) && held.is_behind(member.source)
         });
         let Some(peer) = newer_peers.next() else { return };
--- a/crates/barleyspool_core/tests/source_reading/main.rs
+++ b/crates/barleyspool_core/tests/source_reading/main.rs
@@ -11,6 +11,7 @@
 #[path = "../membership/net.rs"]
 #[allow(dead_code, reason = "shared with the membership tests")]
 mod net;
+mod one_way_cuts;
 mod roles;
 
 use barleyspool_core::Span;
