--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -41,6 +41,7 @@
 mod result_store;
 mod retry_window;
 mod send_end;
+mod sends;
 mod service_set;
 mod service_spec;
 mod service_targets;
--- a/crates/barleyspool_gateway/src/control/mod.rs
+++ b/crates/barleyspool_gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod source_access;
 mod source_changes;
+mod source_reports;
 mod state;
 mod stop;
 mod stream_queries;
--- a/crates/barleyspool_gateway/src/control/source_access.rs
+++ b/crates/barleyspool_gateway/src/control/source_access.rs
@@ -1,12 +1,11 @@
-//! Decides when this node reads the feeds of the source, which nodes it announces its source state to, and
-//! when it requests data from other nodes instead.
+//! Decides when this node reads the feeds of the source, and which nodes it announces its source state to.
 
 use super::state::ControlState;
 use crate::adapters::Feed;
 use crate::event_log::LogEvent;
 use barleyspool_core::{
-    FleetView, HeldRevisions, InitialListRead, Member, MemberEvent, MemberHealth, ReaderCandidate, Revision,
-    SourceState, SourceWatch, Span, Time, rendezvous, source_recipients, source_role,
+    FleetView, InitialListRead, Member, MemberHealth, ReaderCandidate, Revision, SourceState, SourceWatch,
+    Span, Time, rendezvous, source_recipients, source_role,
 };
 use std::cell::{Cell, RefCell};
 use std::sync::atomic::Ordering;
@@ -21,13 +20,13 @@
 
 /// Tracks how this node reads the source.
 pub struct SourceAccess {
-    source_watch: RefCell<SourceWatch>,
+    pub(super) source_watch: RefCell<SourceWatch>,
     /// Addresses of the nodes that receive the announcements of this node.
-    recipients: RefCell<Vec<String>>,
+    pub(super) recipients: RefCell<Vec<String>>,
     /// Whether each feed needs a full read.
     needs_full_read: [Cell<bool>; 2],
     /// Whether each feed is read once because this node has been behind in it for too long.
-    overdue: [Cell<bool>; 2],
+    pub(super) overdue: [Cell<bool>; 2],
     /// Decides when a node without a target list reads it from the source instead of another node.
     initial_list_read: InitialListRead,
     /// The fleet as known to this node, for `initial_list_read`.
@@ -36,15 +35,15 @@
     failures: RefCell<[Option<(Time, String)>; 2]>,
     /// Whether the known members most likely include all nodes. Before that, no node watches the source as a
     /// reader. A copy of [`ControlState::converged`] as of the last [`ControlState::update_source_role`].
-    converged: Cell<bool>,
+    pub(super) converged: Cell<bool>,
     /// The source state in the last announcement.
-    last_announced: Cell<SourceState>,
+    pub(super) last_announced: Cell<SourceState>,
     /// Makes the tasks of the feeds check again whether they should read the source.
-    recheck: watch::Sender<()>,
+    pub(super) recheck: watch::Sender<()>,
     /// Cancels the current watch of each feed, because it may never return or needs a shorter timeout.
     watch_cancels: [Notify; 2],
     /// Notified when another node reports newer data.
-    newer_reported: Notify,
+    pub(super) newer_reported: Notify,
 }
 
 impl SourceAccess {
@@ -90,7 +89,7 @@
     }
 
     /// Cancels the current watch of a feed.
-    fn cancel_watch(&self, feed: Feed) {
+    pub(super) fn cancel_watch(&self, feed: Feed) {
         self.watch_cancels[feed as usize].notify_waiters();
     }
 
@@ -124,7 +123,7 @@
         self.failures.borrow()[feed as usize].is_some()
     }
 
-    fn any_failing(&self) -> bool {
+    pub(super) fn any_failing(&self) -> bool {
         FEEDS.iter().any(|feed| self.is_failing(*feed))
     }
 
@@ -242,7 +241,7 @@
         }
     }
 
-    fn record_reader_answer(&self, now: Time) {
+    pub(super) fn record_reader_answer(&self, now: Time) {
         self.source_access
             .source_watch
             .borrow_mut()
@@ -251,129 +250,7 @@
     }
 
     // ------------------------------------------------------------------------
-    // Announcements of this node
-
-    /// The source state that this node reports to others. It holds the revisions of the last changes (`changed_at`):
-    /// other changes at the source raise `at` alone, and would make other nodes request data that they already have.
-    pub(super) fn source_state(&self) -> SourceState {
-        SourceState {
-            version: self.catalogs.borrow().version(),
-            list: self.targets.borrow().changed_at,
-            evacuations: self.evacuations.borrow().changed_at,
-            failing: self.source_access.any_failing(),
-        }
-    }
-
-    /// Revision from which a watch of a feed delivers everything that this node does not have yet; `None`
-    /// when the feed needs a full read. The configuration is always read again, since that is a single call.
-    pub fn held_revision(&self, feed: Feed) -> Option<Revision> {
-        let known = feed == Feed::Targets && self.has_target_list.get();
-        known.then(|| self.targets.borrow().at)
-    }
-
-    /// The revisions up to which this node knows the source data (`at`), for requests to other nodes. They are higher
-    /// than those that it reports (`changed_at`) when the source has changed since in other places only.
-    pub fn held_revisions(&self) -> HeldRevisions {
-        HeldRevisions {
-            version: self.catalogs.borrow().version(),
-            list: self.targets.borrow().at,
-            evacuations: self.evacuations.borrow().at,
-        }
-    }
-
-    /// Handles a possible change of the source state. It is announced immediately if the data came from the
-    /// source (`from_source`) or this node is a reader of its zone.
-    pub fn source_state_changed(&self, from_source: bool) {
-        let state = self.source_state();
-        self.step_members(MemberEvent::Source(state));
-        let should_announce = from_source || self.source_access.source_watch.borrow().is_reader();
-        if should_announce && self.source_access.last_announced.get() != state {
-            self.announce(state);
-        }
-    }
-
-    /// Announces the source state when the announcement interval of a reader has passed.
-    pub fn announce_if_due(&self) {
-        let due = || {
-            self.source_access
-                .source_watch
-                .borrow_mut()
-                .announcement_due(self.now())
-        };
-        if self.source_access.converged.get() && due() {
-            self.announce(self.source_state());
-        }
-    }
-
-    fn announce(&self, state: SourceState) {
-        self.source_access.last_announced.set(state);
-        self.source_access
-            .source_watch
-            .borrow_mut()
-            .record_announcement(self.now());
-        let recipients = self.source_access.recipients.borrow().clone();
-        self.step_members(MemberEvent::Announce(recipients));
-    }
-
-    // ------------------------------------------------------------------------
-    // Reports of other nodes
-
-    /// Handles the source state reported by another node; `reads` is whether that node reads the source.
-    pub fn handle_source_report(&self, state: SourceState, reads: bool) {
-        let now = self.now();
-        if reads && !state.failing {
-            self.record_reader_answer(now);
-        }
-        let held = self.held_revisions();
-        self.source_access
-            .source_watch
-            .borrow_mut()
-            .handle_report(now, state, held);
-        self.shared
-            .reported_version
-            .fetch_max(state.version.0, Ordering::Relaxed);
-        if held.is_behind(state) {
-            self.source_access.newer_reported.notify_one();
-        }
-    }
-
-    /// Milliseconds since this node learned that another node has newer data; zero if none does.
-    pub fn behind_ms(&self) -> u64 {
-        self.source_access.behind_for(self.now()).as_millis()
-    }
-
-    /// Whether this node should request newer data from another node.
-    pub fn should_ask(&self) -> bool {
-        let failing = self.source_access.any_failing();
-        let held = self.held_revisions();
-        self.source_access
-            .source_watch
-            .borrow_mut()
-            .should_ask(self.now(), held, failing)
-    }
-
-    /// Makes this node read from the source what it has been behind in for too long, and cancels its watch, which should have
-    /// delivered it.
-    pub fn read_if_overdue(&self) {
-        let newer = self
-            .source_access
-            .source_watch
-            .borrow_mut()
-            .take_overdue(self.now());
-        let Some(newer) = newer else { return };
-        let held = self.held_revisions();
-        // A node without a list would read the whole of it, which `initial_list_read` limits.
-        let lacks_targets = self.has_target_list.get() && held.lacks_targets(newer);
-        let lacking = [
-            (Feed::Configuration, held.lacks_configuration(newer)),
-            (Feed::Targets, lacks_targets),
-        ];
-        for (feed, _) in lacking.into_iter().filter(|(_, lacks)| *lacks) {
-            self.source_access.overdue[feed as usize].set(true);
-            self.source_access.cancel_watch(feed);
-        }
-        self.source_access.recheck.send_replace(());
-    }
+    // Role of this node
 
     /// Derives the role of this node in reading the source from the current members, and applies it.
     pub fn update_source_role(&self) {
