Bytes between nodes beside crashes, and a name in the checks of links

The simulated fleet of blocked calls now counts what a node sends and holds it to 13 KB/s. Contact::None of the checks is NotMade, since it looked like Option::None.

--- a/crates/barleyspool_core/tests/membership/blocked_calls.rs
+++ b/crates/barleyspool_core/tests/membership/blocked_calls.rs
@@ -19,6 +19,8 @@
 const HARMFUL_TIME: Span = Span::from_millis(150);
 /// The time after which a caller sends a refused call again.
 const RETRY_INTERVAL: Span = Span::from_millis(150);
+/// The bytes per second that a node may spend on control traffic.
+const MAX_BYTES_PER_S: f64 = 13_000.0;
 /// Of harmless calls, 98 in 100 must be sent.
 const MAX_REFUSED_SHARE: f64 = 0.02;
 /// A call that crashes every target may cause three crashes and three more.
@@ -55,6 +57,8 @@
     sent: usize,
     refused: usize,
     harmful_crashes: usize,
+    /// Bytes a second that a node sends to others.
+    bytes_per_s: f64,
     /// When harmful calls were sent, and when targets crashed under them.
     harmful_sends: Vec<Time>,
     crash_times: Vec<Time>,
@@ -203,6 +207,7 @@
     /// another call that is repeated, or by calls that are each sent once.
     fn run(&mut self, duration: Span, harmful: bool) -> Outcome {
         let end = self.net.now + duration;
+        let bytes_before = self.net.bytes;
         let mut next_crash = self.net.now;
         let mut next_call = self.net.now;
         let mut turn = 0;
@@ -233,6 +238,8 @@
             }
             self.net.run(STEP);
         }
+        let bytes = (self.net.bytes - bytes_before) as f64;
+        self.outcome.bytes_per_s = bytes / duration.as_secs() / self.count as f64;
         self.outcome.clone()
     }
 }
@@ -314,13 +321,16 @@
         let outcome = Simulation::new(count, seed).run(duration, false);
         all.sent += outcome.sent;
         all.refused += outcome.refused;
+        all.bytes_per_s += outcome.bytes_per_s / seeds as f64;
     }
     let share = all.refused as f64 / (all.sent + all.refused) as f64;
     println!(
-        "{count} nodes: {} of {} harmless calls refused, {share:.3}",
+        "{count} nodes: {} of {} harmless calls refused, {share:.3}; {:.0} bytes a second and node",
         all.refused,
-        all.sent + all.refused
+        all.sent + all.refused,
+        all.bytes_per_s
     );
+    assert!(all.bytes_per_s <= MAX_BYTES_PER_S, "{count} nodes: {all:?}");
     assert!(share <= MAX_REFUSED_SHARE, "{count} nodes: {all:?}");
 }
 
--- a/crates/barleyspool_gateway/src/traffic/reach.rs
+++ b/crates/barleyspool_gateway/src/traffic/reach.rs
@@ -181,7 +181,7 @@
         Contact::Unanswered => CheckResult::Unanswered {
             reached_elsewhere: is_reached_elsewhere(traffic, service),
         },
-        Contact::None => CheckResult::Refused,
+        Contact::NotMade => CheckResult::Refused,
     };
     let change = traffic.reach.reach.borrow_mut().end_check(now, service, result);
     if change != ReachChange::None {
@@ -260,7 +260,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Contact {
     /// No connection was accepted.
-    None,
+    NotMade,
     /// A connection was accepted, and the request on it was not answered.
     Unanswered,
     /// The target with this id answered, or accepted a connection where that is evidence enough.
@@ -273,7 +273,7 @@
     let contact = |target| contact(traffic, target, health_path.as_deref());
     let mut attempts = FuturesUnordered::new();
     attempts.extend(targets.first().map(contact));
-    let mut best = Contact::None;
+    let mut best = Contact::NotMade;
     if let Ok(Some(found)) = timer::timeout(FIRST_TIMEOUT, attempts.next()).await {
         best = found;
     }
@@ -304,13 +304,13 @@
         let presence = traffic.connections.presence(address, id).await;
         return match presence {
             Presence::Listening => Contact::Made(id.clone()),
-            Presence::Refused | Presence::Unknown => Contact::None,
+            Presence::Refused | Presence::Unknown => Contact::NotMade,
         };
     };
     traffic.count(Counter::HealthChecked);
     match traffic.connections.probe(address, id, path).await {
         ProbeResult::Answered => Contact::Made(id.clone()),
         ProbeResult::Unanswered => Contact::Unanswered,
-        ProbeResult::NotAccepted => Contact::None,
+        ProbeResult::NotAccepted => Contact::NotMade,
     }
 }
