Log and count which call a refusal of a target names

Nothing told whether a refusal that a node acted on belonged to the call that it had sent. A send_refused line and a counter by answer_id do now. No decision changes.

--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -1,6 +1,6 @@
 //! Event counters. The log records only state changes; the counters record how often each event occurred.
 
-use crate::{Reason, RetryReason, ServiceIx};
+use crate::{AnswerId, Reason, RetryReason, ServiceIx};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -20,6 +20,8 @@
     RefusedUnknown(Reason),
     /// Steps sent to a target, retries included.
     Dispatched(ServiceIx),
+    /// Answers by which a target refuses a forwarded call, by which call they name.
+    SendRefused(AnswerId),
     /// Retried steps, by the reason for the retry.
     Retried(RetryReason),
     /// Retries that the retry budget denied.
@@ -90,6 +92,7 @@
             Self::RefusedByRank(_) => "refused_by_rank",
             Self::RefusedUnknown(_) => "refused_unknown",
             Self::Dispatched(_) => "dispatched",
+            Self::SendRefused(_) => "sends_refused",
             Self::Retried(_) => "retried",
             Self::RetryDenied => "retry_denied",
             Self::Misdirected => "misdirected",
--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -13,6 +13,7 @@
 //! target that holds the result, followed by a slash (see [`handle_address`]).
 
 mod announced_pieces;
+mod answer_id;
 mod brittle_table;
 mod brittle_targets;
 mod call_head;
@@ -76,6 +77,7 @@
 mod wait_report;
 
 pub use announced_pieces::{ANNOUNCEMENT_TTL, AnnouncedPieces};
+pub use answer_id::AnswerId;
 pub use brittle_table::BrittleTable;
 pub use brittle_targets::{BrittleReport, Reservation};
 pub use call_head::{CallHead, PromptPart};
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -485,6 +485,21 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         stream: Option<&'a str>,
     },
+    /// A target answered a call with a refusal.
+    SendRefused {
+        /// The call's id.
+        id: &'a str,
+        /// The service.
+        service: &'a str,
+        /// The target's id.
+        target: &'a str,
+        /// The status code of the answer.
+        status: u16,
+        /// The id of the call that the answer names; empty when it names none.
+        answers: &'a str,
+        /// Whether the connection had been used for another request before.
+        reused: bool,
+    },
     /// A call ended.
     #[serde(rename = "ended")]
     CallEnded {
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and gauges as `opentelemetry` metrics, exported in the Prometheus text format.
 
 use crate::shared::Shared;
-use barleyspool_core::{CapacityUsage, Counter, Reason, RetryReason, TargetCounts, Time};
+use barleyspool_core::{AnswerId, CapacityUsage, Counter, Reason, RetryReason, TargetCounts, Time};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -16,6 +16,7 @@
     Counter::RefusedNotRun(Reason::InvalidCall),
     Counter::RefusedByRank(0),
     Counter::RefusedUnknown(Reason::InvalidCall),
+    Counter::SendRefused(AnswerId::Own),
     Counter::Retried(RetryReason::Refused),
     Counter::RetryDenied,
     Counter::Misdirected,
@@ -232,6 +233,7 @@
         Counter::RefusedNotRun(reason) | Counter::RefusedUnknown(reason) => {
             vec![KeyValue::new("reason", reason.name())]
         }
+        Counter::SendRefused(id) => vec![KeyValue::new("answer_id", id.name())],
         Counter::Retried(reason) => vec![KeyValue::new("reason", reason.name())],
         Counter::Complete(rank) | Counter::RefusedByRank(rank) => {
             vec![KeyValue::new("rank", i64::from(rank))]
--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -33,6 +33,14 @@
     address: String,
     target: String,
     used: bool,
+    reused: bool,
+}
+
+impl Connection {
+    /// Whether it had been used for another request before the latest one.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
 }
 
 /// Why a send returned no answer.
@@ -117,6 +125,7 @@
             sending();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.reused = connection.used;
                     connection.used = true;
                     return Ok((connection, response));
                 }
@@ -216,6 +225,7 @@
         address: address.to_owned(),
         target: target.to_owned(),
         used: false,
+        reused: false,
     })
 }
 
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -18,7 +18,7 @@
 use crate::event_log::LogEvent;
 use crate::failure::CallFailure;
 use barleyspool_core::{
-    Counter, NextStep, Reason, RouteKind, SendEnd, Span, StageProgress, TargetChoice, next_step,
+    AnswerId, Counter, NextStep, Reason, RouteKind, SendEnd, Span, StageProgress, TargetChoice, next_step,
 };
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -301,7 +301,7 @@
     };
     let head = target_reports::read_head(traffic, sent_request, &parts);
     let is_unframed = ends_with_connection(&parts);
-    let answer = read_answer(call, connection, parts, body, head).await?;
+    let answer = read_answer(call, &chosen.id, connection, (parts, body), head).await?;
     if is_unframed && matches!(answer, TargetAnswer::Buffered(..)) && ended_by_crash(call, send).await {
         return Err(SendEnd::BrokenOff);
     }
@@ -314,9 +314,9 @@
 /// How the send ended when the answer may not be passed on.
 pub async fn read_answer(
     call: &Call,
+    target: &str,
     connection: Connection,
-    parts: Parts,
-    body: Incoming,
+    (parts, body): (Parts, Incoming),
     head: AnswerHead,
 ) -> Result<TargetAnswer, SendEnd> {
     let traffic = &call.traffic;
@@ -327,6 +327,7 @@
         return Err(SendEnd::BrokenOff);
     }
     if head.misdirected || head.not_run {
+        record_refusal(call, target, &connection, (&parts, &head));
         // The answer is small, and its connection can be reused once the answer has been read.
         if Limited::new(body, MAX_ANSWER_BYTES).collect().await.is_ok() {
             traffic.connections.add_idle(connection, keep_alive(&head));
@@ -352,6 +353,22 @@
     }
 }
 
+/// Counts and logs an answer by which a target refuses a call, with the call that it names.
+fn record_refusal(call: &Call, target: &str, connection: &Connection, (parts, head): (&Parts, &AnswerHead)) {
+    let traffic = &call.traffic;
+    let id = AnswerId::of(head.id.as_deref(), &call.head.id);
+    traffic.count(Counter::SendRefused(id));
+    let line = LogEvent::SendRefused {
+        id: &call.head.id,
+        service: &call.service,
+        target,
+        status: parts.status.as_u16(),
+        answers: head.id.as_deref().unwrap_or_default(),
+        reused: connection.is_reused(),
+    };
+    traffic.log.write(traffic.now(), &line);
+}
+
 fn keep_alive(head: &AnswerHead) -> Option<Duration> {
     head.keep_alive.map(duration)
 }
--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -146,7 +146,7 @@
         by_peer: true,
     };
     let head = target_reports::read_head(traffic, sent_request, &parts);
-    final_send::read_answer(call, connection, parts, body, head).await
+    final_send::read_answer(call, &target, connection, (parts, body), head).await
 }
 
 /// Records which target the peer chose, so that the next send avoids it and the log names it.
