A refusal counts for the call that it names alone

What callers saw: 503, 429 or 421, which promise that a call did not run, for calls that their target ran; a call that may run once was also sent to a second target.

Cause: an answer has to name the call that was sent, but not if it was a refusal. A target may send one more answer to an earlier call in the place of the next one. If that was a refusal, the call was taken for refused while the target ran it, and the connection was used on with the answer to it outstanding, so that every later call on it met the refusal of the one before.

Change: a refusal that names another call, or none on a connection that was used before, leaves open whether the call ran, and its connection is closed.

--- a/crates/barleyspool_core/src/forward/answer_id.rs
+++ b/crates/barleyspool_core/src/forward/answer_id.rs
@@ -24,6 +24,16 @@
         }
     }
 
+    /// Whether a refusal with this id shows that the call that was sent did not run. One without an id may be a late refusal of
+    /// an earlier request, unless the connection is new.
+    pub const fn proves_refusal(self, reused: bool) -> bool {
+        match self {
+            Self::Own => true,
+            Self::Other => false,
+            Self::Missing => !reused,
+        }
+    }
+
     /// The stable name shown to operators.
     pub const fn name(self) -> &'static str {
         match self {
--- a/crates/barleyspool_core/tests/forward_sends.rs
+++ b/crates/barleyspool_core/tests/forward_sends.rs
@@ -1,6 +1,8 @@
 //! Retries of forwarded calls: what may follow each send, and the retry budget.
 
-use barleyspool_core::{ExecutionStatus, NextStep, RetryWindow, SendEnd, SendHistory, Span, Time, next_step};
+use barleyspool_core::{
+    AnswerId, ExecutionStatus, NextStep, RetryWindow, SendEnd, SendHistory, Span, Time, next_step,
+};
 use quickcheck::quickcheck;
 
 const ENDS: &[SendEnd] = &[
@@ -111,3 +113,13 @@
         true
     }
 }
+
+// Guards against a refusal of another request that is taken for one of the call that was sent.
+#[test]
+fn a_refusal_proves_something_of_the_call_that_it_names_alone() {
+    for reused in [false, true] {
+        assert!(AnswerId::of(Some("a"), "a").proves_refusal(reused));
+        assert!(!AnswerId::of(Some("b"), "a").proves_refusal(reused));
+        assert_eq!(AnswerId::of(None, "a").proves_refusal(reused), !reused);
+    }
+}
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -320,14 +320,21 @@
     head: AnswerHead,
 ) -> Result<TargetAnswer, SendEnd> {
     let traffic = &call.traffic;
-    // An answer with the id of another call, or with none. An answer by which the target reports that it was not the
-    // intended one, or that it did not run the call, is a refusal (below), which is not counted here.
-    if head.id.as_deref() != Some(call.head.id.as_str()) && !head.misdirected && !head.not_run {
+    let id = AnswerId::of(head.id.as_deref(), &call.head.id);
+    let refused = head.misdirected || head.not_run;
+    if refused {
+        record_refusal(call, target, &connection, (&parts, &head));
+    }
+    let belongs_to_call = match refused {
+        true => id.proves_refusal(connection.is_reused()),
+        false => id == AnswerId::Own,
+    };
+    if !belongs_to_call {
+        // The connection is closed: the answer to the call may still arrive on it.
         traffic.count(Counter::Misdirected);
         return Err(SendEnd::BrokenOff);
     }
-    if head.misdirected || head.not_run {
-        record_refusal(call, target, &connection, (&parts, &head));
+    if refused {
         // The answer is small, and its connection can be reused once the answer has been read.
         if Limited::new(body, MAX_ANSWER_BYTES).collect().await.is_ok() {
             traffic.connections.add_idle(connection, keep_alive(&head));
