Connections to pools are closed after a refusal that may be late

What callers saw: nothing in the record; found when the cause of the refused calls that ran was looked for elsewhere. A piece of one call is computed from the result of another, and a target may answer a call with inputs that are not its own.

Cause: batch calls of a stage pool and requests to free results carry no id, so their refusals name nothing. A refusal that a target sends late for an earlier request is taken for one of the next, which the target runs; its answer is then taken for that of the request after it, and so on.

Change: after a refusal, a connection that was used before is closed.

no_call_reads_the_results_of_another_after_a_late_refusal_at_a_pool was red before (call-1 reads 3-call-0) and is green now.

--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -408,12 +408,23 @@
     let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
         return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
     };
+    let outcome = read_outcome(traffic, &head, parts.status, &body.to_bytes());
+    if !may_reuse(&connection, &head) {
+        return BatchAnswer::without_connection(outcome);
+    }
     BatchAnswer {
-        outcome: read_outcome(traffic, &head, parts.status, &body.to_bytes()),
+        outcome,
         connection: Some((connection, head.keep_alive.map(duration))),
     }
 }
 
+/// Whether a connection may be used again after this answer. Requests to pools have no id that a refusal could name. On a
+/// connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
+/// follow, and be taken for that of the next one.
+fn may_reuse(connection: &Connection, head: &AnswerHead) -> bool {
+    !(connection.is_reused() && (head.not_run || head.misdirected))
+}
+
 fn read_outcome(traffic: &Traffic, head: &AnswerHead, status: StatusCode, body: &[u8]) -> BatchOutcome {
     if head.not_run || head.misdirected {
         return BatchOutcome::Refused {
@@ -482,10 +493,10 @@
             .await;
         let Ok((connection, response)) = sent else { return };
         let (parts, body) = response.into_parts();
-        target_reports::read_head(&traffic, batch_request(&target, sent_at), &parts);
+        let head = target_reports::read_head(&traffic, batch_request(&target, sent_at), &parts);
         let freed = parts.status.is_success();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        if body.is_ok() {
+        if body.is_ok() && may_reuse(&connection, &head) {
             traffic.connections.add_idle(connection, None);
         }
         if freed {
