--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -82,8 +82,6 @@
     placements: Cell<u32>,
     /// Targets at which it failed; the choice of its next target avoids them.
     pub failed_targets: RefCell<Vec<TargetKey>>,
-    /// Targets to which it was sent.
-    tried_targets: RefCell<Vec<TargetKey>>,
     /// Whether it is sent for another node, which has read it from its caller.
     pub for_peer: bool,
     /// Peer addresses of nodes that refused to send it.
@@ -187,7 +185,6 @@
         reserved: RefCell::default(),
         placements: Cell::new(0),
         failed_targets: RefCell::default(),
-        tried_targets: RefCell::default(),
         for_peer: false,
         failed_peers: RefCell::default(),
         peer_refusal: Cell::default(),
@@ -314,17 +311,6 @@
         number
     }
 
-    /// Records that it is sent to a target, and returns whether it was sent there before, by this node or the one that it is
-    /// sent for.
-    pub fn record_tried(&self, target: TargetKey) -> bool {
-        let mut tried = self.tried_targets.borrow_mut();
-        let repeated = tried.contains(&target) || self.failed_targets.borrow().contains(&target);
-        if !repeated {
-            tried.push(target);
-        }
-        repeated
-    }
-
     /// The requirements that its target must meet.
     pub fn target_query(&self) -> TargetQuery {
         let affinity = self.route.affinity;
--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -43,17 +43,6 @@
     }
 }
 
-/// Where a request is sent.
-#[derive(Copy, Clone, Debug)]
-pub struct Destination<'a> {
-    /// The address of the target.
-    pub address: &'a str,
-    /// The id of the target.
-    pub target: &'a str,
-    /// Whether the request needs a connection that was never used, on which no late answer to an earlier request can arrive.
-    pub fresh: bool,
-}
-
 /// Why a send returned no answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -108,21 +97,20 @@
 }
 
 impl Connections {
-    /// Sends a request, on an idle connection if there is one and the destination allows it. An idle connection that turns
-    /// out to be closed is replaced by a new one, since nothing was written to it.
+    /// Sends a request to the target with the id `target`, on an idle connection if there is one. An idle connection
+    /// that turns out to be closed is replaced by a new one, since nothing was written to it.
     ///
     /// # Errors
     /// When the connection fails before the header of an answer is received.
     pub async fn send(
         &self,
-        to: Destination<'_>,
+        address: &str,
+        target: &str,
         mut request: Request<Full<Bytes>>,
         sending: impl Fn(),
     ) -> Result<(Connection, Response<Incoming>), SendFailure> {
-        let (address, target) = (to.address, to.target);
         loop {
-            let idle = (!to.fresh).then(|| self.take(address, target)).flatten();
-            let mut connection = match idle {
+            let mut connection = match self.take(address, target) {
                 Some(connection) => connection,
                 None => connect(address, target)
                     .await
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -4,7 +4,7 @@
 use super::call::Call;
 use super::call_guard::CallGuard;
 use super::callers::duration;
-use super::connections::{Connection, Destination};
+use super::connections::Connection;
 use super::held_bytes::HeldBytes;
 use super::peer_send;
 use super::reach;
@@ -287,13 +287,9 @@
     let request = request(call, chosen, inputs, resume_after).ok_or(SendEnd::Unreachable)?;
     let response_timeout = response_timeout(call);
     let sent_at = traffic.now();
-    let to = Destination {
-        address: &chosen.address,
-        target: &chosen.id,
-        // A late refusal of the first send to a target would name this call too.
-        fresh: call.record_tried(chosen.target),
-    };
-    let sent = traffic.send(&call.service, to, request, || call.sending.set(true));
+    let sent = traffic.send(&call.service, (&chosen.address, &chosen.id), request, || {
+        call.sending.set(true);
+    });
     let sent = timer::timeout(response_timeout, sent).await;
     let (connection, response) = sent.map_err(|_| SendEnd::TimedOut)??;
     let (parts, body) = response.into_parts();
--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -6,7 +6,7 @@
 //! link to targets".
 
 use super::call::Call;
-use super::connections::{Destination, SendFailure};
+use super::connections::SendFailure;
 use super::final_send::{self, TargetAnswer};
 use super::send_guard::SendGuard;
 use super::target_reports::{self, SentRequest};
@@ -119,12 +119,9 @@
     let address = send_address(call, &peer).ok_or(SendEnd::Unreachable)?;
     let timeout = final_send::response_timeout(call);
     let sent_at = traffic.now();
-    let to = Destination {
-        address: &address,
-        target: &peer,
-        fresh: false,
-    };
-    let sent = traffic.connections.send(to, request, || call.sending.set(true));
+    let sent = traffic
+        .connections
+        .send(&address, &peer, request, || call.sending.set(true));
     let sent = timer::timeout(timeout, sent).await;
     if matches!(sent, Ok(Err(SendFailure::NotWritten))) {
         traffic.peers.exclude(traffic.now(), &peer);
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -2,7 +2,7 @@
 
 use super::Traffic;
 use super::callers::duration;
-use super::connections::{Connection, Destination, SendFailure};
+use super::connections::{Connection, SendFailure};
 use super::pools::PoolId;
 use super::target_crashes::CrashedCall;
 use super::target_reports::{self, SentRequest};
@@ -395,12 +395,9 @@
     let Some(request) = request(traffic, path, &call.address, &call.id, body) else {
         return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
     };
-    let to = Destination {
-        address: &call.address,
-        target: &call.id,
-        fresh: false,
-    };
-    let sent = traffic.send(&pool.id.service, to, request, || {}).await;
+    let sent = traffic
+        .send(&pool.id.service, (&call.address, &call.id), request, || {})
+        .await;
     let (connection, response) = match sent {
         Ok(sent) => sent,
         Err(SendFailure::NotWritten) => return BatchAnswer::without_connection(BatchOutcome::Unreachable),
@@ -491,12 +488,9 @@
 ) {
     let sent_at = traffic.now();
     let work = async {
-        let to = Destination {
-            address: &address,
-            target: &target,
-            fresh: false,
-        };
-        let sent = traffic.send(&pool.id.service, to, request, || {}).await;
+        let sent = traffic
+            .send(&pool.id.service, (&address, &target), request, || {})
+            .await;
         let Ok((connection, response)) = sent else { return };
         let (parts, body) = response.into_parts();
         let head = target_reports::read_head(&traffic, batch_request(&target, sent_at), &parts);
--- a/crates/barleyspool_gateway/src/traffic/reach.rs
+++ b/crates/barleyspool_gateway/src/traffic/reach.rs
@@ -1,7 +1,7 @@
 //! Checks over new connections which services this node reaches, and watches sends for signs that it lost some.
 
 use super::Traffic;
-use super::connections::{Connection, Destination, Presence, ProbeResult, SendFailure};
+use super::connections::{Connection, Presence, ProbeResult, SendFailure};
 use crate::event_log::LogEvent;
 use crate::shared::TargetObservation;
 use barleyspool_core::{CheckResult, Counter, ReachChange, TargetReach, Time};
@@ -58,7 +58,7 @@
 }
 
 impl Traffic {
-    /// Sends a request to a target of `service`; see [`super::connections::Connections::send`]. A
+    /// Sends a request to a target of `service` at `(address, id)`; see [`super::connections::Connections::send`]. A
     /// failure starts a check whether this node still reaches the service.
     ///
     /// # Errors
@@ -66,19 +66,19 @@
     pub async fn send(
         self: &Rc<Self>,
         service: &str,
-        to: Destination<'_>,
+        (address, id): (&str, &str),
         request: Request<Full<Bytes>>,
         sending: impl Fn(),
     ) -> Result<(Connection, Response<Incoming>), SendFailure> {
         let pending = PendingSend::begin(self, service);
-        let sent = self.connections.send(to, request, sending).await;
+        let sent = self.connections.send(address, id, request, sending).await;
         drop(pending);
         match &sent {
             Ok(_) => self
                 .reach
                 .reach
                 .borrow_mut()
-                .record_answer(self.now(), service, to.target),
+                .record_answer(self.now(), service, id),
             Err(_) if self.reach.reach.borrow().needs_check(self.now(), service) => {
                 start_check(self, service);
             }
