A call sent to the same target again takes another connection

What callers saw: 503 for calls that may run once and that their target ran, and such calls run twice.

Cause: a refused call is sent to the same target again if no other one is free, or if the target lost the inputs of the call and they were computed again. Both sends mostly went over the same connection. A target may send its first refusal once more, in the place of the second answer. It names the same call, so the id does not tell the two apart.

Change: an idle connection on which a call was refused or failed last is not used for the same call again. The late answer then meets an idle connection or the next call, and closes the connection.

--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -34,6 +34,8 @@
     target: String,
     used: bool,
     reused: bool,
+    /// The id of the call that was sent on it last, if it was refused or failed, so that it may be sent again.
+    failed_call: Option<String>,
 }
 
 impl Connection {
@@ -41,6 +43,11 @@
     pub fn is_reused(&self) -> bool {
         self.reused
     }
+
+    /// Records that the call that was sent on it last was refused or failed.
+    pub fn record_failure(&mut self, call: &str) {
+        self.failed_call = Some(call.to_owned());
+    }
 }
 
 /// Why a send returned no answer.
@@ -98,19 +105,21 @@
 
 impl Connections {
     /// Sends a request to the target with the id `target`, on an idle connection if there is one. An idle connection
-    /// that turns out to be closed is replaced by a new one, since nothing was written to it.
+    /// that turns out to be closed is replaced by a new one, since nothing was written to it. `call` is the id of the call
+    /// that is sent. A call that is sent to the same target again takes another connection than the first time: the target may
+    /// send its first answer once more, which names the same call and cannot be told from the second answer.
     ///
     /// # Errors
     /// When the connection fails before the header of an answer is received.
     pub async fn send(
         &self,
-        address: &str,
-        target: &str,
+        (address, target): (&str, &str),
+        call: Option<&str>,
         mut request: Request<Full<Bytes>>,
         sending: impl Fn(),
     ) -> Result<(Connection, Response<Incoming>), SendFailure> {
         loop {
-            let mut connection = match self.take(address, target) {
+            let mut connection = match self.take(address, target, call) {
                 Some(connection) => connection,
                 None => connect(address, target)
                     .await
@@ -127,6 +136,7 @@
                 Ok(response) => {
                     connection.reused = connection.used;
                     connection.used = true;
+                    connection.failed_call = None;
                     return Ok((connection, response));
                 }
                 Err(mut error) => match error.take_message() {
@@ -168,19 +178,27 @@
         }
     }
 
-    fn take(&self, address: &str, target: &str) -> Option<Connection> {
+    /// Takes an idle connection to a target, but none on which `call` was refused or failed last.
+    fn take(&self, address: &str, target: &str, call: Option<&str>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(address)?;
         let now = time_since_boot();
+        let mut skipped = Vec::new();
+        let mut taken = None;
         while let Some(entry) = queue.pop_back() {
             let usable = entry.connection.target == target
                 && entry.until > now
                 && !entry.connection.sender.is_closed();
-            if usable {
-                return Some(entry.connection);
+            let has_failed = call.is_some() && entry.connection.failed_call.as_deref() == call;
+            if usable && has_failed {
+                skipped.push(entry);
+            } else if usable {
+                taken = Some(entry.connection);
+                break;
             }
         }
-        None
+        queue.extend(skipped.into_iter().rev());
+        taken
     }
 
     /// Keeps a connection for reuse after a complete answer; `keep_alive` is the idle time that the target states.
@@ -226,6 +244,7 @@
         target: target.to_owned(),
         used: false,
         reused: false,
+        failed_call: None,
     })
 }
 
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -287,7 +287,8 @@
     let request = request(call, chosen, inputs, resume_after).ok_or(SendEnd::Unreachable)?;
     let response_timeout = response_timeout(call);
     let sent_at = traffic.now();
-    let sent = traffic.send(&call.service, (&chosen.address, &chosen.id), request, || {
+    let target = (chosen.address.as_str(), chosen.id.as_str());
+    let sent = traffic.send_call(&call.service, target, Some(&call.head.id), request, || {
         call.sending.set(true);
     });
     let sent = timer::timeout(response_timeout, sent).await;
@@ -315,7 +316,7 @@
 pub async fn read_answer(
     call: &Call,
     target: &str,
-    connection: Connection,
+    mut connection: Connection,
     (parts, body): (Parts, Incoming),
     head: AnswerHead,
 ) -> Result<TargetAnswer, SendEnd> {
@@ -334,6 +335,9 @@
         traffic.count(Counter::Misdirected);
         return Err(SendEnd::BrokenOff);
     }
+    if refused || !parts.status.is_success() {
+        connection.record_failure(&call.head.id);
+    }
     if refused {
         // The answer is small, and its connection can be reused once the answer has been read.
         if Limited::new(body, MAX_ANSWER_BYTES).collect().await.is_ok() {
--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -121,7 +121,7 @@
     let sent_at = traffic.now();
     let sent = traffic
         .connections
-        .send(&address, &peer, request, || call.sending.set(true));
+        .send((&address, &peer), None, request, || call.sending.set(true));
     let sent = timer::timeout(timeout, sent).await;
     if matches!(sent, Ok(Err(SendFailure::NotWritten))) {
         traffic.peers.exclude(traffic.now(), &peer);
--- a/crates/barleyspool_gateway/src/traffic/reach.rs
+++ b/crates/barleyspool_gateway/src/traffic/reach.rs
@@ -69,9 +69,25 @@
         (address, id): (&str, &str),
         request: Request<Full<Bytes>>,
         sending: impl Fn(),
+    ) -> Result<(Connection, Response<Incoming>), SendFailure> {
+        self.send_call(service, (address, id), None, request, sending)
+            .await
+    }
+
+    /// Same as [`Self::send`], for the call with the id `call`.
+    ///
+    /// # Errors
+    /// When the connection fails before the header of an answer is received.
+    pub async fn send_call(
+        self: &Rc<Self>,
+        service: &str,
+        (address, id): (&str, &str),
+        call: Option<&str>,
+        request: Request<Full<Bytes>>,
+        sending: impl Fn(),
     ) -> Result<(Connection, Response<Incoming>), SendFailure> {
         let pending = PendingSend::begin(self, service);
-        let sent = self.connections.send(address, id, request, sending).await;
+        let sent = self.connections.send((address, id), call, request, sending).await;
         drop(pending);
         match &sent {
             Ok(_) => self
