A call whose earlier send may have run is not refused as not run

What callers saw: 503, which promises that a call did not run, for calls that may be repeated and had been sent to a target that may have run them.

Cause: the steps between two sends say that the call did not run when they fail: the computing of lost inputs again, and the stages. That holds for a first send only. The choice of a target and the check of blocked calls look at the earlier sends themselves; these steps did not.

Change: a failure passes one place on its way to the caller, which leaves open whether the call ran if one of its sends may have run it.

refusals_after_sends: a call was answered 503 whose target had broken off the first send and refused three more, since inputs were lost; 502 with this commit.

--- a/crates/barleyspool_gateway/src/failure.rs
+++ b/crates/barleyspool_gateway/src/failure.rs
@@ -38,6 +38,19 @@
         }
     }
 
+    /// The same failure of a call that was sent before; `may_have_run` says whether one of these sends may have run it. A step
+    /// that fails after them, as when lost inputs are computed again, says nothing of the call itself.
+    pub fn after_sends(self, may_have_run: bool) -> Self {
+        if !may_have_run {
+            return self;
+        }
+        Self {
+            verdict: Verdict::Unknown,
+            retry_after: Span::ZERO,
+            ..self
+        }
+    }
+
     /// Sets when the caller should retry.
     pub fn with_retry_after(mut self, retry_after: Span) -> Self {
         self.retry_after = retry_after;
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -249,7 +249,7 @@
     };
     match answered {
         Ok(response) => response,
-        Err(failure) => fail(&traffic, guard, &failure),
+        Err(failure) => fail(&traffic, guard, &failure.after_sends(call.may_have_run())),
     }
 }
 
