A call does not wait for the body of an earlier one to be written

What callers saw: 503 at the deadline for calls that were never sent, though their target was free.

Cause: a target may answer before it has read the whole body of a call. The connection was kept for reuse, and the next call that took it waited until the rest of the body was written, for its whole time if the target did not read on.

Change: an idle connection is taken only if it can send at once.

--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -178,7 +178,8 @@
         }
     }
 
-    /// Takes an idle connection to a target, but none on which `call` was refused or failed last.
+    /// Takes an idle connection to a target, but none on which `call` was refused or failed last, and none on which the body
+    /// of an earlier call is still being written: a target may answer before it has read the whole body.
     fn take(&self, address: &str, target: &str, call: Option<&str>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(address)?;
@@ -189,10 +190,13 @@
             let usable = entry.connection.target == target
                 && entry.until > now
                 && !entry.connection.sender.is_closed();
+            if !usable {
+                continue;
+            }
             let has_failed = call.is_some() && entry.connection.failed_call.as_deref() == call;
-            if usable && has_failed {
+            if has_failed || !entry.connection.sender.is_ready() {
                 skipped.push(entry);
-            } else if usable {
+            } else {
                 taken = Some(entry.connection);
                 break;
             }
