An entry node uses no connection again after the answer to another step

What callers saw: unknown outcomes of jobs that may run once, for several jobs in a row at one target.

Cause: a target may send the answer to a step once more, in the place of the next answer. Its echo names the other step, so the step counts as broken off. But the connection was kept with the answer to that step outstanding, and the steps after it met the answers of those before.

Change: a connection is kept only after an answer that names its own step.

--- a/crates/barleyspool_entry/src/target_client.rs
+++ b/crates/barleyspool_entry/src/target_client.rs
@@ -116,6 +116,8 @@
             return Some(AttemptResult::interrupted());
         };
         let mut result = read_answer(attempt, response, events).await;
+        // After an answer to another step, the answer to this one may still arrive.
+        result.reusable &= result.echo == Some(order.echo);
         if result.reusable {
             result.reusable = tokio::time::timeout(READY_TIMEOUT, sender.ready())
                 .await
--- a/crates/barleyspool_stands/tests/support/mod.rs
+++ b/crates/barleyspool_stands/tests/support/mod.rs
@@ -292,6 +292,14 @@
         }
     }
 
+    /// Kills the process of a target and waits until it has exited.
+    pub fn kill_target(&mut self, id: u32) {
+        if let Some(mut child) = self.targets.remove(&id) {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
     /// Waits until the process of an entry node has exited without being killed.
     pub async fn wait_for_exit(&mut self, id: u32) -> std::process::ExitStatus {
         let started = Instant::now();
