Connections to pools are closed after an answer without results that may be late

What callers saw: nothing in the record; found in the review of the refused calls that ran. A piece of one call is computed from the result of another.

Cause: an answer to a batch call names no call. One with results is recognised as late by a handle that an earlier answer named, a refusal closes a connection that was used before, but an answer in which every piece failed (late, gone, room, error) names nothing and kept its connection. A target that sends it twice stays one answer behind: the results of each batch call are taken for those of the next.

Change: a connection that was used before is closed after any answer without a result.

no_call_reads_the_results_of_another_after_a_late_failure_at_a_pool was red before (call-1 reads 1-4-call-0) and is green now.

--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -412,7 +412,9 @@
         return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
     };
     let outcome = read_outcome(traffic, &head, parts.status, &body.to_bytes());
-    if !may_reuse(&connection, &head) {
+    // Only a result that no earlier answer named shows that an answer is not a late one; `PieceQueue` checks that. After a
+    // late answer without results the answer to this call would follow, and be taken for that of the next one.
+    if connection.is_reused() && computed_count(&outcome) == 0 {
         return BatchAnswer::without_connection(outcome);
     }
     BatchAnswer {
@@ -421,8 +423,8 @@
     }
 }
 
-/// Whether a connection may be used again after this answer. Requests to pools have no id that a refusal could name. On a
-/// connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
+/// Whether a connection may be used again after this answer to a release. Requests to pools have no id that a refusal could name.
+/// On a connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
 /// follow, and be taken for that of the next one.
 fn may_reuse(connection: &Connection, head: &AnswerHead) -> bool {
     !(connection.is_reused() && (head.not_run || head.misdirected))
