A connection to a pool is not used after the results on it are forgotten

What callers saw: nothing in the record; found in the review of the refused calls that ran. A piece of one call is computed from the result of another.

Cause: a late answer of a pool target is recognised by a handle that an earlier answer named.

Change: a connection to a pool is idle for no longer than results are remembered.

no_call_reads_results_that_a_pool_sends_again_after_they_expired was red before (call-1 reads 2-call-0) and is green now.

--- a/crates/barleyspool_core/src/forward/result_store.rs
+++ b/crates/barleyspool_core/src/forward/result_store.rs
@@ -6,7 +6,7 @@
 use super::PieceQueue;
 use super::capacity_usage::Holding;
 use super::wait_estimate::RATE_WINDOW;
-use crate::Time;
+use crate::{Span, Time};
 use std::collections::BTreeMap;
 
 /// A result that was computed for this queue. The record stays until the holder of the result drops it on
@@ -122,6 +122,11 @@
         holder.map(|(id, _)| id.clone())
     }
 
+    /// How long a result that an answer named is remembered.
+    pub fn result_ttl(&self) -> Span {
+        self.spec.result_ttl
+    }
+
     /// Whether released results wait to be freed.
     pub fn has_releasable(&self) -> bool {
         !self.releasable.is_empty()
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -345,6 +345,13 @@
     }
 }
 
+/// How long a connection may be idle: no longer than the results that answers on it named are remembered. A late answer is
+/// recognised by these.
+fn max_idle(pool: &Pool, keep_alive: Option<Duration>) -> Duration {
+    let remembered = duration(pool.queue.borrow().result_ttl());
+    keep_alive.map_or(remembered, |keep_alive| keep_alive.min(remembered))
+}
+
 fn finish_batch(traffic: &Traffic, pool: &Pool, key: BatchKey, answer: BatchAnswer) {
     let done = matches!(answer.outcome, BatchOutcome::Done(_));
     let usable = pool
@@ -352,7 +359,10 @@
         .borrow_mut()
         .call_ended(traffic.now(), key, answer.outcome);
     match answer.connection {
-        Some((connection, keep_alive)) if usable => traffic.connections.add_idle(connection, keep_alive),
+        Some((connection, keep_alive)) if usable => {
+            let idle = max_idle(pool, keep_alive);
+            traffic.connections.add_idle(connection, Some(idle));
+        }
         // An answer that parses but is not usable for this call: its outcomes do not match the pieces, or the call is
         // no longer known. An answer by which the target reports that it was not the intended one is a refusal,
         // which is not counted here.
@@ -505,7 +515,9 @@
         let freed = parts.status.is_success();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         if body.is_ok() && may_reuse(&connection, &head) {
-            traffic.connections.add_idle(connection, None);
+            traffic
+                .connections
+                .add_idle(connection, Some(max_idle(&pool, None)));
         }
         if freed {
             pool.queue.borrow_mut().mark_freed(&handles);
