--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -345,6 +345,13 @@
     }
 }
 
+/// How long a connection may be idle: no longer than the results that answers on it named are remembered. A late answer is
+/// recognised by these.
+fn max_idle(pool: &Pool, keep_alive: Option<Duration>) -> Duration {
+    let remembered = duration(pool.queue.borrow().result_ttl());
+    keep_alive.map_or(remembered, |keep_alive| keep_alive.min(remembered))
+}
+
 fn finish_batch(traffic: &Traffic, pool: &Pool, key: BatchKey, answer: BatchAnswer) {
     let done = matches!(answer.outcome, BatchOutcome::Done(_));
     let usable = pool
@@ -352,7 +359,10 @@
         .borrow_mut()
         .call_ended(traffic.now(), key, answer.outcome);
     match answer.connection {
-        Some((connection, keep_alive)) if usable => traffic.connections.add_idle(connection, keep_alive),
+        Some((connection, keep_alive)) if usable => {
+            let idle = max_idle(pool, keep_alive);
+            traffic.connections.add_idle(connection, Some(idle));
+        }
         // An answer that parses but is not usable for this call: its outcomes do not match the pieces, or the call is
         // no longer known. An answer by which the target reports that it was not the intended one is a refusal,
         // which is not counted here.
@@ -409,7 +419,9 @@
         return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
     };
     let outcome = read_outcome(traffic, &head, parts.status, &body.to_bytes());
-    if !may_reuse(&connection, &head) {
+    // Only a result that no earlier answer named shows that an answer is not a late one; `PieceQueue` checks that. After a
+    // late answer without results the answer to this call would follow, and be taken for that of the next one.
+    if connection.is_reused() && computed_count(&outcome) == 0 {
         return BatchAnswer::without_connection(outcome);
     }
     BatchAnswer {
@@ -418,8 +430,8 @@
     }
 }
 
-/// Whether a connection may be used again after this answer. Requests to pools have no id that a refusal could name. On a
-/// connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
+/// Whether a connection may be used again after this answer to a release. Requests to pools have no id that a refusal could name.
+/// On a connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
 /// follow, and be taken for that of the next one.
 fn may_reuse(connection: &Connection, head: &AnswerHead) -> bool {
     !(connection.is_reused() && (head.not_run || head.misdirected))
@@ -497,7 +509,9 @@
         let freed = parts.status.is_success();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         if body.is_ok() && may_reuse(&connection, &head) {
-            traffic.connections.add_idle(connection, None);
+            traffic
+                .connections
+                .add_idle(connection, Some(max_idle(&pool, None)));
         }
         if freed {
             pool.queue.borrow_mut().mark_freed(&handles);
