A late refusal of another call starts no cooldown

What callers saw: 503 for a while from a target that is not in cooldown.

Cause: the cooldown of a refusal was read before its id was looked at, so that a late copy began it again, counted from its arrival.

--- a/crates/barleyspool_gateway/src/traffic/target_reports.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_reports.rs
@@ -76,14 +76,14 @@
     if head.leaving {
         note_leaving(traffic, request);
     }
-    if !request.by_peer {
-        // A cooldown applies to the node that sent the request.
-        note_cooldown(traffic, request, head.cooldown);
-    }
     let id = head.id.as_deref();
     let another_call = id.is_some_and(|id| !request.call.is_empty() && id != request.call);
     if !another_call {
-        // A late answer to another call reports an outdated limit and load.
+        // A late answer to another call reports an outdated limit and load, and the cooldown that it requests has begun earlier.
+        if !request.by_peer {
+            // A cooldown applies to the node that sent the request.
+            note_cooldown(traffic, request, head.cooldown);
+        }
         note_limit(traffic, request, head.limit);
         note_brittle(traffic, request, head.brittle);
         note_load(traffic, request, head.load);
