A refusal is passed on without its body

What callers saw: 504 at the deadline for a call that its target had refused.

Cause: the body of a refusal was read before the refusal counted. A body without a length ends with its connection, and one that does not come has no end.

Change: the body is read for the connection alone, for 50 ms at most, and not at all if it has no length. send_refused lines of refusals that name their call are routine lines, and say whether the answer has the header of calls that ran.

a_refusal_is_passed_on_without_its_body was red before (504 after 3.0 s).

--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -499,6 +499,8 @@
         answers: &'a str,
         /// Whether the connection had been used for another request before.
         reused: bool,
+        /// Whether the answer has the header by which targets mark answers of calls that they ran.
+        sealed: bool,
     },
     /// A call ended.
     #[serde(rename = "ended")]
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -35,6 +35,8 @@
 const TIMEOUT_FACTOR: f64 = 5.0;
 /// Lower bound of the timeout of a repeatable call.
 const MIN_TIMEOUT: Span = Span::from_millis(250);
+/// How long the body of a refusal may take: a caller does not wait for more of it than usually comes with its header.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Lower bound of that timeout as a share of the route's objective: a target that is slow because it is busy
 /// is not unresponsive.
 const MIN_TIMEOUT_SHARE: f64 = 0.5;
@@ -339,8 +341,8 @@
         connection.record_failure(&call.head.id);
     }
     if refused {
-        // The answer is small, and its connection can be reused once the answer has been read.
-        if Limited::new(body, MAX_ANSWER_BYTES).collect().await.is_ok() {
+        // The refusal stands without its body, which is read for the connection alone.
+        if !ends_with_connection(&parts) && read_refusal_body(body).await {
             traffic.connections.add_idle(connection, keep_alive(&head));
         }
         return Err(SendEnd::Refused {
@@ -364,6 +366,12 @@
     }
 }
 
+/// Reads the body of a refusal, so that its connection can be reused; returns whether it is complete.
+async fn read_refusal_body(body: Incoming) -> bool {
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    matches!(timer::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_)))
+}
+
 /// Counts and logs an answer by which a target refuses a call, with the call that it names.
 fn record_refusal(call: &Call, target: &str, connection: &Connection, (parts, head): (&Parts, &AnswerHead)) {
     let traffic = &call.traffic;
@@ -376,8 +384,13 @@
         status: parts.status.as_u16(),
         answers: head.id.as_deref().unwrap_or_default(),
         reused: connection.is_reused(),
+        sealed: head.sealed,
     };
-    traffic.log.write(traffic.now(), &line);
+    if id == AnswerId::Own {
+        traffic.log.write_routine(traffic.now(), &line);
+    } else {
+        traffic.log.write(traffic.now(), &line);
+    }
 }
 
 fn keep_alive(head: &AnswerHead) -> Option<Duration> {
