Refuse orders that starve in a shortage before their deadlines

What callers saw: in a shortage, a call whose pieces were passed over for others at a pool was refused when its deadline came.

Cause: the owner of a pool compared a waiting order with its deadline only, not with the work that goes ahead of it.

The owner now forecasts the turn of an order of which nothing was started and that has waited for 0.45 of its time. It refuses the order at once if what is ahead of it takes too long at the full throughput, and after a second if it also takes too long with what arrives meanwhile. Nothing is refused while the pool is not short or has no available target. Log event order_starved, counter orders_starved.

Evidence: a_starving_order_is_refused_in_half_of_its_time failed (the order ended 5.85 s after it was submitted, of 6 s) and passes (3 s or less). tests/starving_orders.rs: with important work that keeps arriving, a low rank is refused after 3.7 s with 4 targets and after 3.7 to 4.7 s with one; orders are still computed after a shortage of a second, bursts that end before half of their time, an outage of 3.5 s and a lack of capacity for results. The tests of barleyspool_core up to router passed in one run.

--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -70,6 +70,8 @@
     BrittleUnreadable,
     /// Responses whose load report could not be parsed.
     LoadUnreadable,
+    /// Orders of pieces that the owner of a pool refused because they starved in a shortage.
+    OrderStarved,
     /// Sends by way of another node, since this one reaches no target of the service.
     SentByPeer,
     /// Calls that this node sends for other nodes.
@@ -114,6 +116,7 @@
             Self::LimitUnreadable => "limit_unreadable",
             Self::BrittleUnreadable => "brittle_unreadable",
             Self::LoadUnreadable => "load_unreadable",
+            Self::OrderStarved => "orders_starved",
             Self::SentByPeer => "sent_by_peer",
             Self::PeerSend => "peer_sends",
             Self::HealthChecked => "health_checked",
--- a/crates/barleyspool_core/src/forward/piece_batching.rs
+++ b/crates/barleyspool_core/src/forward/piece_batching.rs
@@ -33,7 +33,7 @@
 
 /// The pieces that wait for a zone, and the targets there.
 #[derive(Clone, Debug, Default)]
-struct ZoneLoad {
+pub(super) struct ZoneLoad {
     /// Waiting pieces of orders whose results are read in the zone.
     waiting: u32,
     /// Usable targets in the zone, including busy ones.
@@ -54,7 +54,7 @@
 }
 
 /// The load of each zone of a pool.
-type ZoneLoads = BTreeMap<String, ZoneLoad>;
+pub(super) type ZoneLoads = BTreeMap<String, ZoneLoad>;
 
 impl PieceQueue {
     pub(super) fn next_call(&mut self, now: Time) -> Option<BatchCall> {
@@ -134,7 +134,7 @@
     // ------------------------------------------------------------------------
     // Pieces
 
-    fn zone_loads(&self, now: Time) -> ZoneLoads {
+    pub(super) fn zone_loads(&self, now: Time) -> ZoneLoads {
         let mut loads = ZoneLoads::new();
         for order in self.orders.values().filter(|order| order.waiting > 0) {
             loads.entry(order.order.zone.clone()).or_default().waiting += order.waiting;
@@ -191,9 +191,9 @@
         }
     }
 
-    /// The orders with pieces that `target` may compute now, the most urgent first.
-    fn eligible(&self, now: Time, loads: &ZoneLoads, target: &IdleTarget) -> Vec<OrderKey> {
-        let local = |order: &QueuedOrder| order.order.zone == target.zone || order.order.zone.is_empty();
+    /// The orders with pieces that targets of a zone may compute now, the most urgent first.
+    pub(super) fn eligible(&self, now: Time, loads: &ZoneLoads, zone: &str) -> Vec<OrderKey> {
+        let local = |order: &QueuedOrder| order.order.zone == zone || order.order.zone.is_empty();
         let short = self.is_short(now);
         let mut waiting: Vec<(Urgency, OrderKey)> = self
             .orders
@@ -263,7 +263,7 @@
         let max_skipped = self.call_time(self.spec.batch);
         let mut held = false;
         let mut items = Vec::new();
-        for key in self.eligible(now, loads, target) {
+        for key in self.eligible(now, loads, &target.zone) {
             if space.pieces == 0 || items.len() as u32 >= size {
                 break;
             }
--- a/crates/barleyspool_core/src/forward/piece_queue.rs
+++ b/crates/barleyspool_core/src/forward/piece_queue.rs
@@ -8,10 +8,11 @@
 use super::call_space::CallSpace;
 use super::capacity_usage::Holding;
 use super::piece_order::BatchItem;
+use super::recent_arrivals::RecentArrivals;
 use super::result_store::StoredResult;
 use super::{
     BatchCall, BatchKey, BatchOutcome, OrderKey, OrderOutcome, OrganisationShares, PieceOrder, PieceOutcome,
-    PieceRequest, PoolSpec, PoolTarget, TargetIncarnation,
+    PieceRequest, PoolSpec, PoolTarget, StarvedOrder, TargetIncarnation,
 };
 use crate::{Span, Time};
 use slotmap::SlotMap;
@@ -44,6 +45,8 @@
     /// Since when it has been skipped because it did not fit; `None` if it was not, or pieces of it were started
     /// afterwards.
     pub(super) skipped_at: Option<Time>,
+    /// Since when it has been expected to miss its deadline if work continues to arrive as it does; `None` if it is not.
+    pub(super) missing_since: Option<Time>,
 }
 
 impl QueuedOrder {
@@ -110,6 +113,9 @@
     pub(super) slowdown: f64,
     /// How many refusals in a second the targets bear, if they are brittle.
     pub(super) refusals: Option<f64>,
+    pub(super) arrivals: RecentArrivals,
+    pub(super) starved: Vec<StarvedOrder>,
+    pub(super) next_starvation_check: Time,
 }
 
 impl PieceQueue {
@@ -150,8 +156,8 @@
         if now + wait > order.deadline {
             return Err(wait.scale(0.5).min(Span::from_secs(2)));
         }
-        let count = order.pieces as usize;
-        Ok(self.orders.insert(QueuedOrder {
+        let (count, rank) = (order.pieces as usize, order.rank);
+        let key = self.orders.insert(QueuedOrder {
             submitted_at: now,
             pieces: vec![Piece::Waiting; count],
             attempts: vec![0; count],
@@ -159,13 +165,25 @@
             waiting: order.pieces,
             crashes: 0,
             skipped_at: None,
+            missing_since: None,
             order,
-        }))
+        });
+        if !self.is_late(now, true, &self.orders[key]) {
+            self.arrivals.record(now, key, rank, count as u32);
+        }
+        Ok(key)
     }
 
     /// Cancels an order that its request no longer needs: waiting pieces are dropped, and computed results
     /// released.
     pub fn cancel(&mut self, key: OrderKey) {
+        if self.orders.get(key).is_some_and(|order| !order.is_started()) {
+            self.arrivals.forget(key);
+        }
+        self.remove_order(key);
+    }
+
+    fn remove_order(&mut self, key: OrderKey) {
         if let Some(order) = self.orders.remove(key) {
             let computed = order.pieces.into_iter().filter_map(|piece| match piece {
                 Piece::Computed(handle) => Some(handle),
@@ -228,6 +246,7 @@
         while let Some(call) = self.next_call(now) {
             calls.push(call);
         }
+        self.refuse_starving(now);
         calls
     }
 
@@ -448,7 +467,7 @@
 
     pub(super) fn end_order(&mut self, key: OrderKey, end: OrderOutcome) {
         if self.orders.contains_key(key) {
-            self.cancel(key);
+            self.remove_order(key);
             self.ended.push((key, end));
         }
     }
--- a/crates/barleyspool_core/src/forward/wait_estimate.rs
+++ b/crates/barleyspool_core/src/forward/wait_estimate.rs
@@ -134,15 +134,16 @@
         if waiting <= self.spec.batch || is_new {
             return Span::ZERO;
         }
-        let completed = self
-            .completions
-            .iter()
-            .filter(|at| now.since(**at) <= RATE_WINDOW)
-            .count();
-        let rate = completed.max(1) as f64 / RATE_WINDOW.as_secs();
+        let rate = self.recent_throughput(now).max(1.0 / RATE_WINDOW.as_secs());
         Span((pieces as f64 / rate * 1e6) as u64)
     }
 
+    /// The pieces a second that were computed within the last `RATE_WINDOW`.
+    pub(super) fn recent_throughput(&self, now: Time) -> f64 {
+        let recent = |at: &&Time| now.since(**at) <= RATE_WINDOW;
+        self.completions.iter().filter(recent).count() as f64 / RATE_WINDOW.as_secs()
+    }
+
     /// The expected duration of a call with `pieces` pieces.
     pub fn call_time(&self, pieces: u32) -> Span {
         (self.spec.call_overhead + Span(self.spec.piece_time.0 * u64::from(pieces))).scale(self.slowdown)
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -407,6 +407,26 @@
         /// Its duration, in milliseconds.
         took_ms: u64,
     },
+    /// The owner of a pool refused an order that would have waited until its deadline, since others went ahead of it in
+    /// a shortage.
+    OrderStarved {
+        /// The id of the call.
+        id: &'a str,
+        /// The service of the pool.
+        service: &'a str,
+        /// The number of the shard.
+        shard: u32,
+        /// The rank of the call.
+        rank: u8,
+        /// The number of pieces of the order.
+        pieces: u32,
+        /// How long it waited, in milliseconds.
+        waited_ms: u64,
+        /// The number of pieces ahead of it.
+        ahead: u64,
+        /// The time after which the caller is told to retry, in milliseconds.
+        retry_ms: u64,
+    },
     /// What the owner of a pool sees once a second while pieces wait or calls are in flight.
     PoolLoad {
         /// The service of the pool.
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     Counter::LimitUnreadable,
     Counter::BrittleUnreadable,
     Counter::LoadUnreadable,
+    Counter::OrderStarved,
     Counter::SentByPeer,
     Counter::PeerSend,
     Counter::HealthChecked,
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -188,6 +188,7 @@
             };
             (calls, queue.next_wake(now))
         };
+        report_starved(&traffic, &pool, now);
         pool.notify_ended();
         for call in calls {
             spawn_local(run_batch(Rc::clone(&traffic), Rc::clone(&pool), call));
@@ -202,6 +203,24 @@
     }
 }
 
+/// Logs and counts the orders that were refused because they starved.
+fn report_starved(traffic: &Traffic, pool: &Pool, now: Time) {
+    for order in pool.queue.borrow_mut().take_starved() {
+        traffic.count(Counter::OrderStarved);
+        let line = LogEvent::OrderStarved {
+            id: &order.request,
+            service: &pool.id.service,
+            shard: pool.id.shard,
+            rank: order.rank,
+            pieces: order.pieces,
+            waited_ms: order.waited.as_millis(),
+            ahead: order.ahead,
+            retry_ms: order.retry_after.as_millis(),
+        };
+        traffic.log.write(now, &line);
+    }
+}
+
 /// Applies to the queue the rate limits and cooldowns that targets reported since the last time, and the
 /// share of the rates that this node may grant.
 ///
