Nodes admit a share of the calls of a pool that is short

Cause: nodes learn some hundred milliseconds late what others have admitted, and decided by the reported wait alone. At three times the capacity they admitted nearly all and refused nearly all in turns of 0.6 to 0.9 s, but a call can wait 0.375 s: in each pause the pool had only late orders left.

Orders now carry what recent calls at the node ask of the pool, refused ones included. If that exceeds the throughput, the answers carry both, and a node admits of each rank what more important ones leave and what may queue before the wait reaches its limit. Without such a report, nodes admit as before. No message is added.

An owner of before this does not read the orders of a later node.

--- a/crates/barleyspool_core/src/forward/wait_estimate.rs
+++ b/crates/barleyspool_core/src/forward/wait_estimate.rs
@@ -1,6 +1,6 @@
 //! Estimates how long pieces wait for a pool.
 
-use super::{PieceOrder, PieceQueue, PoolTarget, RankWaits, RankedPieces};
+use super::{PieceOrder, PieceQueue, PoolDemand, PoolTarget, RankWaits, RankedPieces};
 use crate::{OrgKey, Span, Time};
 use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashMap};
@@ -66,6 +66,20 @@
         RankWaits::new(ranks.into_iter().map(wait))
     }
 
+    /// The demand on the pool, of which calls at all nodes ask for `offered` pieces a second.
+    pub fn demand(&self, now: Time, offered: &RankedPieces) -> PoolDemand {
+        PoolDemand::new(self.throughput(now) as u32, offered)
+    }
+
+    /// The pieces a second that the pool computes in full calls, within the rate limits of its targets.
+    fn throughput(&self, now: Time) -> f64 {
+        let slots = f64::from(self.spec.slots.max(1));
+        let unlimited = slots / self.call_time(self.spec.batch).as_secs().max(1e-3);
+        let available = self.targets.values().filter(|target| target.is_available(now));
+        let calls = available.map(|target| target.rate(now).map_or(unlimited, |rate| rate.min(unlimited)));
+        calls.sum::<f64>() * f64::from(self.spec.batch.max(1))
+    }
+
     /// The time until `more` pieces submitted now would be computed with `ahead` pieces before them.
     fn wait_behind(&self, now: Time, ahead: u64, more: u64) -> Span {
         let available = |target: &&PoolTarget| target.is_available(now);
--- a/crates/barleyspool_core/src/forward/wait_report.rs
+++ b/crates/barleyspool_core/src/forward/wait_report.rs
@@ -1,6 +1,6 @@
 //! The last report of the owner of a pool, at a node that sends it orders.
 
-use super::RankWaits;
+use super::{PoolDemand, RankWaits};
 use crate::{Span, Time};
 
 /// How long a report is used. After that it says nothing of a queue that a burst of calls fills or a single second
@@ -15,6 +15,8 @@
     pub expected: Span,
     /// The waits by rank; empty from a node that does not estimate them.
     pub waits: RankWaits,
+    /// What calls at all nodes ask of the pool; empty from a node that does not add it up.
+    pub demand: PoolDemand,
     /// When the report arrived.
     pub received_at: Time,
 }
@@ -30,6 +32,12 @@
         self.aged(now, self.expected)
     }
 
+    /// What calls at all nodes ask of the pool. `None` if the report is too old, or the pool can compute it all.
+    pub fn demand(&self, now: Time) -> Option<&PoolDemand> {
+        let recent = now.since(self.received_at) < MAX_REPORT_AGE;
+        (recent && !self.demand.is_empty()).then_some(&self.demand)
+    }
+
     /// A reported wait less half of the age of the report, since the pool works off its queue while other nodes go on
     /// filling it.
     fn aged(&self, now: Time, wait: Span) -> Option<Span> {
--- a/crates/barleyspool_core/tests/rank_capacity.rs
+++ b/crates/barleyspool_core/tests/rank_capacity.rs
@@ -6,9 +6,9 @@
 mod batch_calls;
 
 use barleyspool_core::{
-    ANNOUNCEMENT_TTL, AnnouncedPieces, BatchCall, OrderKey, OrderOutcome, OrgKey, OrganisationShares,
-    PieceOrder, PieceQueue, PoolSpec, RankWaits, RankedPieces, Span, TargetEntry, TargetTable, Time,
-    WaitReport, wait_limit,
+    ANNOUNCEMENT_TTL, AnnouncedPieces, BatchCall, OfferedPieces, OrderKey, OrderOutcome, OrgKey,
+    OrganisationShares, PieceOrder, PieceQueue, PoolDemand, PoolSpec, RankWaits, RankedPieces, Span,
+    TargetEntry, TargetTable, Time, WaitReport, wait_limit,
 };
 use batch_calls::all_computed;
 use rand::rngs::SmallRng;
@@ -125,6 +125,7 @@
     let report = |waits: RankWaits| WaitReport {
         expected: Span::from_millis(900),
         waits,
+        demand: PoolDemand::default(),
         received_at: at(0),
     };
     let by_rank = report(RankWaits::new([
@@ -139,14 +140,62 @@
     assert_eq!(older.any_wait(at(100)), Some(Span::from_millis(850)));
 }
 
+/// Guards against calls that are refused at a pool which computes all that is asked, or of which nothing is known, and
+/// against important calls that are refused because of less important ones.
+#[test]
+fn calls_are_admitted_by_share_only_if_they_ask_for_more_than_a_pool_computes() {
+    let queue = pool();
+    let demand = |counts: &[(u8, u32)]| queue.demand(at(0), &ranked(counts));
+    let none = Span::ZERO;
+    assert!(demand(&[(0, 2_000), (1, 3_500)]).is_empty());
+    assert!((demand(&[(0, 2_000), (1, 3_500)]).admitted_share(1, none) - 1.0).abs() < 1e-9);
+    let short = demand(&[(0, 4_185), (1, 2_800), (3, 1_000)]);
+    assert!((short.admitted_share(0, none) - 1.0).abs() < 1e-9);
+    // The pool computes 16 * 96 pieces in 274.8 ms, which is 5,589 a second, and leaves 1,404.
+    assert!((short.admitted_share(1, none) - 1_404.0 / 2_800.0).abs() < 1e-4);
+    assert!(short.admitted_share(3, none) < 1e-9);
+    // The queue may grow by 250 ms, which is 1,397 pieces.
+    let slack = Span::from_millis(250);
+    assert!((short.admitted_share(1, slack) - 1.0).abs() < 1e-2);
+    assert!((short.admitted_share(3, Span::from_millis(100)) - 0.558).abs() < 1e-2);
+    // Nothing is known of what a rank asks that no node has named.
+    assert!((short.admitted_share(7, none) - 1.0).abs() < 1e-9);
+    assert!((PoolDemand::default().admitted_share(0, none) - 1.0).abs() < 1e-9);
+    let without_targets = PieceQueue::new(spec());
+    assert!(without_targets.demand(at(0), &ranked(&[(0, 9_000)])).is_empty());
+}
+
+/// Guards against shares that follow what calls asked a while ago, or an owner that no longer answers.
+#[test]
+fn the_demand_follows_what_calls_asked_in_the_last_second() {
+    let mut offered = OfferedPieces::default();
+    for ms in 0..4_000 {
+        offered.add(at(ms), 1, 8);
+    }
+    let rate = |ms: u64| offered.per_second(at(ms)).total() as f64;
+    assert!((rate(4_000) / 8_000.0 - 1.0).abs() < 0.05, "{}", rate(4_000));
+    assert!(rate(6_000) < 0.15 * 8_000.0, "{}", rate(6_000));
+    assert_eq!(offered.per_second(at(20_000)), RankedPieces::default());
+    let report = WaitReport {
+        expected: Span::ZERO,
+        waits: RankWaits::default(),
+        demand: pool().demand(at(0), &ranked(&[(0, 9_000)])),
+        received_at: at(0),
+    };
+    assert!(report.demand(at(1_499)).is_some());
+    assert!(report.demand(at(1_500)).is_none());
+}
+
 /// Guards against an owner that is too slow for its pool: with 410 nodes and a queue of 2,000 pieces, a report of the
 /// waits takes under 20 us.
 #[test]
 fn a_report_takes_under_20_us_at_the_design_size() {
     let mut queue = pool();
     let mut announced = AnnouncedPieces::default();
+    let mut offered = AnnouncedPieces::default();
     for node in 0..410_u64 {
         announced.record(at(0), node, ranked(&[(0, 16), (1, 16), (2, 16)]));
+        offered.record(at(0), node, ranked(&[(0, 16), (1, 16), (2, 16)]));
     }
     for request in 0..125_u8 {
         let order = order(&request.to_string(), request % 3, 16);
@@ -156,6 +205,7 @@
         let began = Instant::now();
         let sum = announced.sum(at(1));
         assert!(queue.rank_waits(at(1), sum).wait(2).is_some());
+        assert!(!queue.demand(at(1), offered.sum(at(1))).is_empty());
         began.elapsed()
     };
     // Other processes only make a run slower, so that the fastest of many shows the cost.
@@ -265,6 +315,7 @@
 struct Node {
     report: Option<WaitReport>,
     planned: RankedPieces,
+    offered: OfferedPieces,
 }
 
 /// Nodes that admit calls, and the pool that is the last of their chain.
@@ -274,6 +325,7 @@
     refuses: bool,
     queue: PieceQueue,
     announced: AnnouncedPieces,
+    offered: AnnouncedPieces,
     nodes: Vec<Node>,
     planned: Vec<Admitted>,
     open: HashMap<OrderKey, Admitted>,
@@ -281,6 +333,8 @@
     served: Vec<Served>,
     submitted: u64,
     random: SmallRng,
+    /// Separate, so that a seed gives the same calls however many are refused.
+    draws: SmallRng,
 }
 
 impl Fleet {
@@ -292,12 +346,14 @@
             refuses,
             queue: pool(),
             announced: AnnouncedPieces::default(),
+            offered: AnnouncedPieces::default(),
             nodes: vec![Node::default(); NODES],
             planned: Vec::new(),
             open: HashMap::new(),
             calls: Vec::new(),
             submitted: 0,
             random: SmallRng::seed_from_u64(seed),
+            draws: SmallRng::seed_from_u64(seed + 1_000),
         };
         (0..LOAD_TIME.as_millis()).for_each(|ms| fleet.step(at(ms)));
         fleet.served
@@ -351,7 +407,12 @@
         });
         // The pool works off its queue while the earlier stages run.
         let wait = Span(queued.0.saturating_sub(LEAD.0));
-        if !self.refuses || wait <= wait_limit(OBJECTIVE, LEAD + FULL_CALL + ENGINE) {
+        let limit = wait_limit(OBJECTIVE, LEAD + FULL_CALL + ENGINE);
+        let slack = Span((limit + LEAD).0.saturating_sub(queued.0));
+        let demand = report.and_then(|report| report.demand(now));
+        let share = demand.map_or(1.0, |demand| demand.admitted_share(rank, slack));
+        self.nodes[node].offered.add(now, rank, pieces);
+        if !self.refuses || (wait <= limit && self.draws.random_bool(share)) {
             self.nodes[node].planned.add(rank, pieces);
             self.planned.push(call);
         }
@@ -368,6 +429,8 @@
         let planned = &mut self.nodes[call.node].planned;
         planned.subtract(rank, pieces);
         self.announced.record(now, call.node as u64, planned.clone());
+        let offered = self.nodes[call.node].offered.per_second(now);
+        self.offered.record(now, call.node as u64, offered);
         self.submitted += 1;
         let due = call.arrived + POOL_OBJECTIVE;
         let order = PieceOrder {
@@ -390,6 +453,7 @@
         self.nodes[call.node].report = Some(WaitReport {
             expected: self.queue.expected_wait(now, 1),
             waits: self.queue.rank_waits(now, announced),
+            demand: self.queue.demand(now, self.offered.sum(now)),
             received_at: now,
         });
         let in_time =
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -9,7 +9,7 @@
 use super::target_crashes;
 use crate::event_log::LogEvent;
 use crate::failure::CallFailure;
-use barleyspool_core::{Counter, ForwardPlan, PoolSpec, Reason, Span, StopPhase, wait_limit};
+use barleyspool_core::{Counter, ForwardPlan, PoolDemand, PoolSpec, Reason, Span, StopPhase, wait_limit};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -36,15 +36,30 @@
         let failure = CallFailure::not_run(Reason::NoTarget).at(service, "");
         return Err(failure.with_retry_after(NO_TARGET_RETRY_AFTER));
     }
-    let forecast = forecast(call);
+    let (forecast, stages) = forecast(call);
     let expected = forecast.total();
     let objective = call.route.objective;
-    let late = forecast.wait > wait_limit(objective, forecast.base);
+    let limit = wait_limit(objective, forecast.base);
+    let late = forecast.wait > limit;
     let hopeless = now + expected > call.deadline && forecast.wait > Span::ZERO;
     if call.traffic.shared.stop_reached(StopPhase::Leaving) && now + expected > call.deadline {
         return Err(stopping::refusal());
     }
-    if late || hopeless {
+    let displaced = if late || hopeless {
+        None
+    } else {
+        displacing_pool(call, &stages, Span(limit.0 - forecast.wait.0))
+    };
+    let refusing = if late || hopeless {
+        Some(&forecast.slowest_pool)
+    } else {
+        displaced
+    };
+    // A call that cannot meet its deadline would not run with more capacity either.
+    if !hopeless {
+        record_offered(call, refusing);
+    }
+    if let Some(pool) = refusing {
         let line = LogEvent::CallRefused {
             id: &call.head.id,
             route: &call.route.name,
@@ -53,15 +68,12 @@
             objective_ms: objective.as_millis(),
             expected_ms: expected.as_millis(),
             wait_ms: forecast.wait.as_millis(),
-            slowest_pool: &forecast.slowest_pool,
+            slowest_pool: pool,
             version: call.catalog.version().0,
         };
         call.traffic.log.write(now, &line);
-        let failure = CallFailure::not_run(Reason::PoolBusy).at(&forecast.slowest_pool, "");
-        let retry_after = call
-            .traffic
-            .retry_times
-            .plan(call, &forecast.slowest_pool, forecast.wait);
+        let failure = CallFailure::not_run(Reason::PoolBusy).at(pool, "");
+        let retry_after = call.traffic.retry_times.plan(call, pool, forecast.wait);
         return Err(failure.with_retry_after(retry_after));
     }
     if call.head.resume_after.is_some() {
@@ -81,6 +93,40 @@
     Ok(())
 }
 
+/// The pool of a stage of a call, and when the stage would find the queue of the pool empty.
+struct StagePool {
+    service: String,
+    demand: Option<PoolDemand>,
+    /// How long the queue of the pool will have been empty when the stage starts; zero if the stage has to wait.
+    idle: Span,
+}
+
+/// The pool that refuses a call although it is expected to be in time, since calls ask for more than the pool computes:
+/// other calls get its capacity. A call is drawn once, for the pool that admits the smallest share, since a draw at each
+/// pool would refuse more calls than the tightest one has to. `slack` is the time by which the wait is below its limit.
+fn displacing_pool<'a>(call: &Call, stages: &'a [StagePool], slack: Span) -> Option<&'a String> {
+    let share = |stage: &StagePool| {
+        let demand = stage.demand.as_ref();
+        demand.map_or(1.0, |demand| demand.admitted_share(call.rank, slack + stage.idle))
+    };
+    let shares = stages.iter().map(|stage| (share(stage), &stage.service));
+    let (share, tightest) = shares.min_by(|one, other| one.0.total_cmp(&other.0))?;
+    (share < rand::random::<f64>()).then_some(tightest)
+}
+
+/// Counts the pieces of a call as asked of its pools, or only of the pool that refuses the call.
+fn record_offered(call: &Call, refusing: Option<&String>) {
+    let now = call.traffic.now();
+    let mut offered = call.traffic.offered.borrow_mut();
+    for (stage, spec) in call.route.stages.iter().enumerate() {
+        if refusing.is_none_or(|service| *service == spec.service) {
+            let pieces = call.head.pieces.get(stage).copied().unwrap_or(1);
+            let pool = offered.entry(stages::likely_pool(call, stage)).or_default();
+            pool.add(now, call.rank, pieces);
+        }
+    }
+}
+
 /// The expected time until a stage is done, or until the first output of the whole call.
 #[derive(Clone, Debug, Default)]
 struct Forecast {
@@ -113,9 +159,10 @@
     full_call.scale(all / f64::from(pool.batch.max(1)) / capacity)
 }
 
-/// Forecasts the time until the first output of the whole call.
-fn forecast(call: &Call) -> Forecast {
+/// Forecasts the time until the first output of the whole call. Also returns the pools of its stages.
+fn forecast(call: &Call) -> (Forecast, Vec<StagePool>) {
     let plan = call.traffic.plan();
+    let mut pools = Vec::new();
     let mut stages: Vec<Forecast> = Vec::new();
     for (stage, spec) in call.route.stages.iter().enumerate() {
         let before = spec.needs.iter().filter_map(|needed| stages.get(*needed));
@@ -125,7 +172,9 @@
         stages.push(if is_skipped {
             start
         } else {
-            forecast_stage(call, &plan, stage, start)
+            let (forecast, pool) = forecast_stage(call, &plan, stage, start);
+            pools.extend(pool);
+            forecast
         });
     }
     let last = stages.into_iter().max_by_key(Forecast::total);
@@ -137,7 +186,7 @@
     let corrected = correction.corrected(now, &call.route.name, uncorrected);
     whole.wait += Span(corrected.0 - uncorrected.0);
     whole.base += call.expected_first_output();
-    whole
+    (whole, pools)
 }
 
 /// Records how long the stages of a call took; this corrects the forecasts of later calls.
@@ -148,25 +197,37 @@
     correction.record(now, &call.route.name, call.stage_forecast.take(), took);
 }
 
-/// Forecasts the end of a stage that starts at `start`.
-fn forecast_stage(call: &Call, plan: &ForwardPlan, stage: usize, start: Forecast) -> Forecast {
+/// Forecasts the end of a stage that starts at `start`. Also returns its pool, if its service is one.
+fn forecast_stage(
+    call: &Call,
+    plan: &ForwardPlan,
+    stage: usize,
+    start: Forecast,
+) -> (Forecast, Option<StagePool>) {
     let service = &call.route.stages[stage].service;
     let spec = call
         .catalog
         .service(service)
         .and_then(|service| service.pool.as_ref());
-    let Some(spec) = spec else { return start };
+    let Some(spec) = spec else { return (start, None) };
     let alone = spec.call_overhead + Span(spec.piece_time.0 * u64::from(spec.batch));
-    let (reported, planned) = match reported_wait(call, stage) {
+    let (reported, demand) = reported_wait(call, stage);
+    let (reported, planned) = match reported {
         ReportedWait::ForRank(wait) => (wait, Span::ZERO),
         ReportedWait::ForAny(wait) => (wait, planned_time(call, plan, service, spec)),
     };
     // The reported time includes the run time of a batch call, which `alone` already counts.
     let queued = Span(reported.0.saturating_sub(alone.0));
     // The pool works off its queue while the earlier stages run.
-    let ahead = Span((queued + planned).0.saturating_sub(start.total().0));
+    let (queued, before) = (queued + planned, start.total());
+    let ahead = Span(queued.0.saturating_sub(before.0));
+    let pool = StagePool {
+        service: service.clone(),
+        demand,
+        idle: Span(before.0.saturating_sub(queued.0)),
+    };
     let slower = ahead > start.longest_wait;
-    Forecast {
+    let forecast = Forecast {
         base: start.base + alone,
         wait: start.wait + ahead,
         slowest_pool: if slower {
@@ -175,7 +236,8 @@
             start.slowest_pool
         },
         longest_wait: ahead.max(start.longest_wait),
-    }
+    };
+    (forecast, Some(pool))
 }
 
 /// How long a piece takes until it is computed at a pool, the run time of its batch call included.
@@ -186,17 +248,20 @@
     ForAny(Span),
 }
 
-/// The wait at the pool of a stage: the current estimate if this node owns the pool, else the latest report of its
-/// owner.
-fn reported_wait(call: &Call, stage: usize) -> ReportedWait {
+/// The wait at the pool of a stage, and what calls at all nodes ask of the pool if it is more than it computes: the
+/// current estimates if this node owns the pool, else the latest report of its owner.
+fn reported_wait(call: &Call, stage: usize) -> (ReportedWait, Option<PoolDemand>) {
     let traffic = &call.traffic;
     let id = stages::likely_pool(call, stage);
     let now = traffic.now();
     match traffic.peers.owner(traffic, &id) {
         Owner::Local => {
             let pool = traffic.pools.find(&id);
-            let wait = pool.and_then(|pool| pool.rank_waits(traffic).wait(call.rank));
-            wait.map_or(ReportedWait::ForAny(Span::ZERO), ReportedWait::ForRank)
+            let wait = pool
+                .as_ref()
+                .and_then(|pool| pool.rank_waits(traffic).wait(call.rank));
+            let wait = wait.map_or(ReportedWait::ForAny(Span::ZERO), ReportedWait::ForRank);
+            (wait, pool.map(|pool| pool.demand(traffic)))
         }
         Owner::Remote(_) => {
             let report = traffic.peers.pool_report(&id);
@@ -204,10 +269,12 @@
                 .as_ref()
                 .and_then(|report| report.rank_wait(now, call.rank));
             let for_any = || report.as_ref().and_then(|report| report.any_wait(now));
-            match for_rank {
+            let wait = match for_rank {
                 Some(wait) => ReportedWait::ForRank(wait),
                 None => ReportedWait::ForAny(for_any().unwrap_or_default()),
-            }
+            };
+            let demand = report.as_ref().and_then(|report| report.demand(now));
+            (wait, demand.cloned())
         }
     }
 }
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -38,7 +38,9 @@
 use crate::adapters::Adapters;
 use crate::event_log::EventLog;
 use crate::shared::{Shared, StreamQuery, TargetObservation};
-use barleyspool_core::{Counter, Counters, ForecastCorrection, ForwardPlan, Forwarder, RankedPieces, Time};
+use barleyspool_core::{
+    Counter, Counters, ForecastCorrection, ForwardPlan, Forwarder, OfferedPieces, RankedPieces, Time,
+};
 use barleyspool_wire::process::EssentialTasks;
 use connections::Connections;
 use peers::{Owner, Peers};
@@ -89,6 +91,8 @@
     pub placements: RefCell<Placements>,
     /// The pieces that calls admitted here have yet to submit, by the pool that will most likely get them.
     pub planned: RefCell<HashMap<PoolId, RankedPieces>>,
+    /// The pieces that recent calls here asked for, by the pool that would most likely get them.
+    pub offered: RefCell<HashMap<PoolId, OfferedPieces>>,
     /// The ratio of actual to forecast stage time, by route.
     pub forecast_correction: RefCell<ForecastCorrection>,
     /// When refused callers should retry.
@@ -121,6 +125,13 @@
         self.counters.borrow_mut().count(counter);
     }
 
+    /// The pieces a second that recent calls here ask of a pool, by rank.
+    pub fn offered_to(&self, pool: &PoolId) -> RankedPieces {
+        let offered = self.offered.borrow();
+        let of_pool = offered.get(pool);
+        of_pool.map_or_else(RankedPieces::default, |pieces| pieces.per_second(self.now()))
+    }
+
     fn apply_plan(&self) {
         let plan = self.shared.plan.load_full();
         self.forwarder.borrow_mut().apply_plan(&plan);
@@ -132,6 +143,9 @@
             self.reach.retain(|service| catalog.service(service).is_some());
             self.retry_times
                 .retain(|service| catalog.service(service).is_some());
+            self.offered
+                .borrow_mut()
+                .retain(|id, _| id.is_current(&plan) && catalog.service(&id.service).is_some());
         }
         let before = self.plan.replace(Arc::clone(&plan));
         for (address, at) in plan.restarts.iter() {
@@ -188,6 +202,7 @@
         held_bytes: Cell::new(0),
         placements: RefCell::default(),
         planned: RefCell::default(),
+        offered: RefCell::default(),
         forecast_correction: RefCell::default(),
         retry_times: RetryTimes::default(),
         crashes: TargetCrashes::new(observations.clone()),
--- a/crates/barleyspool_gateway/src/traffic/peers.rs
+++ b/crates/barleyspool_gateway/src/traffic/peers.rs
@@ -5,7 +5,8 @@
 use super::placement;
 use super::pools::PoolId;
 use barleyspool_core::{
-    Grant, NO_CAPACITY_TTL, OrderOutcome, PieceOrder, RankWaits, Span, Time, WaitReport, owner_among,
+    Grant, NO_CAPACITY_TTL, OrderOutcome, PieceOrder, PoolDemand, RankWaits, Span, Time, WaitReport,
+    owner_among,
 };
 use barleyspool_wire::net;
 use barleyspool_wire::pieces::{
@@ -173,6 +174,7 @@
                 ..order.clone()
             },
             planned: traffic.planned.borrow().get(id).cloned().unwrap_or_default(),
+            offered: traffic.offered_to(id),
         };
         let mut context = context::current();
         context.deadline = Instant::now() + Duration::from_micros(order.deadline.since(now).0) + PING_TIMEOUT;
@@ -186,6 +188,7 @@
                     let report = WaitReport {
                         expected: end.expected_wait,
                         waits: end.waits,
+                        demand: end.demand,
                         received_at: traffic.now(),
                     };
                     self.reported_waits.borrow_mut().insert(id.clone(), report);
@@ -334,6 +337,7 @@
             outcome: OrderOutcome::Failed,
             expected_wait: Span::ZERO,
             waits: RankWaits::default(),
+            demand: PoolDemand::default(),
         };
         if self.jobs.send(PeerJob::Compute(order, reply)).is_err() {
             return failed;
@@ -423,7 +427,7 @@
         shard: order.shard,
     };
     let now = traffic.now();
-    let (requester, planned) = (order.requester, order.planned);
+    let (requester, planned, offered) = (order.requester, order.planned, order.offered);
     let mut order = order.order;
     order.deadline = now + Span(order.deadline.0);
     order.due = now + Span(order.due.0);
@@ -431,6 +435,7 @@
         outcome,
         expected_wait: Span::ZERO,
         waits: RankWaits::default(),
+        demand: PoolDemand::default(),
     };
     if !id.is_current(&traffic.plan()) {
         // The pool is sharded differently in the current plan; the requesting node will receive that plan
@@ -442,7 +447,7 @@
         let _ = reply.send(ended(OrderOutcome::Failed));
         return;
     };
-    pool.record_announcement(now, requester, planned);
+    pool.record_announcement(now, requester, planned, offered);
     let outcome = tokio::select! {
         outcome = pool.compute(&traffic, order, requester) => outcome,
         // The requesting node has given the order up.
@@ -454,5 +459,6 @@
         outcome,
         expected_wait,
         waits: pool.rank_waits(&traffic),
+        demand: pool.demand(&traffic),
     });
 }
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -10,7 +10,7 @@
 use crate::event_log::LogEvent;
 use barleyspool_core::{
     AnnouncedPieces, BatchCall, BatchKey, BatchOutcome, Counter, OrderKey, OrderOutcome, PieceOrder,
-    PieceOutcome, PieceQueue, PieceRequest, PoolSpec, RankWaits, RankedPieces, Span, Time,
+    PieceOutcome, PieceQueue, PieceRequest, PoolDemand, PoolSpec, RankWaits, RankedPieces, Span, Time,
 };
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -45,6 +45,8 @@
     requesters: RefCell<HashMap<u64, usize>>,
     /// The pieces that nodes plan to submit.
     announced: RefCell<AnnouncedPieces>,
+    /// The pieces a second that calls at each node ask of the pool.
+    offered: RefCell<AnnouncedPieces>,
     changed: Notify,
     releasable: Notify,
 }
@@ -77,6 +79,7 @@
             waiters: RefCell::default(),
             requesters: RefCell::default(),
             announced: RefCell::default(),
+            offered: RefCell::default(),
             changed: Notify::new(),
             releasable: Notify::new(),
         });
@@ -141,16 +144,38 @@
         self.queue.borrow().expected_wait(traffic.now(), 1)
     }
 
-    /// Records the pieces that the node `requester` plans to submit, by rank.
-    pub fn record_announcement(&self, now: Time, requester: u64, planned: RankedPieces) {
+    /// Records the pieces that the node `requester` plans to submit, and those a second that calls there ask for, by
+    /// rank.
+    pub fn record_announcement(
+        &self,
+        now: Time,
+        requester: u64,
+        planned: RankedPieces,
+        offered: RankedPieces,
+    ) {
         self.announced.borrow_mut().record(now, requester, planned);
+        self.offered.borrow_mut().record(now, requester, offered);
+    }
+
+    fn record_own_announcement(&self, traffic: &Traffic) {
+        let planned = traffic.planned.borrow().get(&self.id).cloned();
+        let offered = traffic.offered_to(&self.id);
+        let (now, me) = (traffic.now(), traffic.plan().me);
+        self.record_announcement(now, me, planned.unwrap_or_default(), offered);
+    }
+
+    /// What calls at all nodes ask of the pool.
+    pub fn demand(&self, traffic: &Traffic) -> PoolDemand {
+        self.record_own_announcement(traffic);
+        let now = traffic.now();
+        let mut offered = self.offered.borrow_mut();
+        self.queue.borrow().demand(now, offered.sum(now))
     }
 
     /// Same as [`Self::expected_wait`], by the rank of the call and with the pieces that all nodes plan to submit.
     pub fn rank_waits(&self, traffic: &Traffic) -> RankWaits {
+        self.record_own_announcement(traffic);
         let now = traffic.now();
-        let own = traffic.planned.borrow().get(&self.id).cloned();
-        self.record_announcement(now, traffic.plan().me, own.unwrap_or_default());
         let mut announced = self.announced.borrow_mut();
         self.queue.borrow().rank_waits(now, announced.sum(now))
     }
--- a/crates/barleyspool_wire/src/pieces.rs
+++ b/crates/barleyspool_wire/src/pieces.rs
@@ -12,7 +12,9 @@
 
 use crate::net;
 use crate::peer::{self, PeerTransport};
-use barleyspool_core::{Grant, OrderOutcome, PieceOrder, RankWaits, RankedPieces, Span, VersionId};
+use barleyspool_core::{
+    Grant, OrderOutcome, PieceOrder, PoolDemand, RankWaits, RankedPieces, Span, VersionId,
+};
 use std::io;
 use tarpc::serde::{Deserialize, Serialize};
 use tarpc::{ClientMessage, Response};
@@ -35,6 +37,9 @@
     /// this order. An older node sends none.
     #[serde(default)]
     pub planned: RankedPieces,
+    /// The pieces a second that recent calls at the requesting node ask of the pool, by rank. An older node sends none.
+    #[serde(default, skip_serializing_if = "RankedPieces::is_empty")]
+    pub offered: RankedPieces,
 }
 
 /// The outcome of a remote order.
@@ -51,6 +56,9 @@
     /// The same time by the rank of the call; none from an older node, or if the owner did not try to compute the order.
     #[serde(default)]
     pub waits: RankWaits,
+    /// What calls at all nodes ask of the pool, if it is more than the pool computes; empty from an older node.
+    #[serde(default, skip_serializing_if = "PoolDemand::is_empty")]
+    pub demand: PoolDemand,
 }
 
 /// Results that a request no longer needs.
