--- a/crates/barleyspool_core/tests/starving_orders.rs
+++ b/crates/barleyspool_core/tests/starving_orders.rs
@@ -110,7 +110,7 @@
     for ms in (0..8_000).step_by(STEP_MS as usize) {
         let now = at(ms);
         // The orders of the targets are spread over the interval.
-        let is_due = |place: &usize| (ms + *place as u64 * STEP_MS) % interval_ms == 0;
+        let is_due = |place: &usize| (ms + *place as u64 * STEP_MS).is_multiple_of(interval_ms);
         for place in (0..targets).filter(is_due).filter(|_| ms < until_ms) {
             let important = PieceOrder {
                 deadline: now + deadline,
