--- a/crates/barleyspool_core/src/forward/wait_estimate.rs
+++ b/crates/barleyspool_core/src/forward/wait_estimate.rs
@@ -1,6 +1,6 @@
 //! Estimates how long pieces wait for a pool.
 
-use super::{PieceOrder, PieceQueue, PoolTarget, RankWaits, RankedPieces};
+use super::{PieceOrder, PieceQueue, PoolDemand, PoolTarget, RankWaits, RankedPieces};
 use crate::{OrgKey, Span, Time};
 use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashMap};
@@ -66,6 +66,20 @@
         RankWaits::new(ranks.into_iter().map(wait))
     }
 
+    /// The demand on the pool, of which calls at all nodes ask for `offered` pieces a second.
+    pub fn demand(&self, now: Time, offered: &RankedPieces) -> PoolDemand {
+        PoolDemand::new(self.throughput(now) as u32, offered)
+    }
+
+    /// The pieces a second that the pool computes in full calls, within the rate limits of its targets.
+    fn throughput(&self, now: Time) -> f64 {
+        let slots = f64::from(self.spec.slots.max(1));
+        let unlimited = slots / self.call_time(self.spec.batch).as_secs().max(1e-3);
+        let available = self.targets.values().filter(|target| target.is_available(now));
+        let calls = available.map(|target| target.rate(now).map_or(unlimited, |rate| rate.min(unlimited)));
+        calls.sum::<f64>() * f64::from(self.spec.batch.max(1))
+    }
+
     /// The time until `more` pieces submitted now would be computed with `ahead` pieces before them.
     fn wait_behind(&self, now: Time, ahead: u64, more: u64) -> Span {
         let available = |target: &&PoolTarget| target.is_available(now);
@@ -134,15 +148,16 @@
         if waiting <= self.spec.batch || is_new {
             return Span::ZERO;
         }
-        let completed = self
-            .completions
-            .iter()
-            .filter(|at| now.since(**at) <= RATE_WINDOW)
-            .count();
-        let rate = completed.max(1) as f64 / RATE_WINDOW.as_secs();
+        let rate = self.recent_throughput(now).max(1.0 / RATE_WINDOW.as_secs());
         Span((pieces as f64 / rate * 1e6) as u64)
     }
 
+    /// The pieces a second that were computed within the last `RATE_WINDOW`.
+    pub(super) fn recent_throughput(&self, now: Time) -> f64 {
+        let recent = |at: &&Time| now.since(**at) <= RATE_WINDOW;
+        self.completions.iter().filter(recent).count() as f64 / RATE_WINDOW.as_secs()
+    }
+
     /// The expected duration of a call with `pieces` pieces.
     pub fn call_time(&self, pieces: u32) -> Span {
         (self.spec.call_overhead + Span(self.spec.piece_time.0 * u64::from(pieces))).scale(self.slowdown)
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -2,7 +2,7 @@
 
 use super::Traffic;
 use super::callers::duration;
-use super::connections::{Connection, Destination, SendFailure};
+use super::connections::{Connection, SendFailure};
 use super::pools::PoolId;
 use super::target_crashes::CrashedCall;
 use super::target_reports::{self, SentRequest};
@@ -10,7 +10,7 @@
 use crate::event_log::LogEvent;
 use barleyspool_core::{
     AnnouncedPieces, BatchCall, BatchKey, BatchOutcome, Counter, OrderKey, OrderOutcome, PieceOrder,
-    PieceOutcome, PieceQueue, PieceRequest, PoolSpec, RankWaits, RankedPieces, Span, Time,
+    PieceOutcome, PieceQueue, PieceRequest, PoolDemand, PoolSpec, RankWaits, RankedPieces, Span, Time,
 };
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -45,6 +45,8 @@
     requesters: RefCell<HashMap<u64, usize>>,
     /// The pieces that nodes plan to submit.
     announced: RefCell<AnnouncedPieces>,
+    /// The pieces a second that calls at each node ask of the pool.
+    offered: RefCell<AnnouncedPieces>,
     changed: Notify,
     releasable: Notify,
 }
@@ -77,6 +79,7 @@
             waiters: RefCell::default(),
             requesters: RefCell::default(),
             announced: RefCell::default(),
+            offered: RefCell::default(),
             changed: Notify::new(),
             releasable: Notify::new(),
         });
@@ -141,16 +144,38 @@
         self.queue.borrow().expected_wait(traffic.now(), 1)
     }
 
-    /// Records the pieces that the node `requester` plans to submit, by rank.
-    pub fn record_announcement(&self, now: Time, requester: u64, planned: RankedPieces) {
+    /// Records the pieces that the node `requester` plans to submit, and those a second that calls there ask for, by
+    /// rank.
+    pub fn record_announcement(
+        &self,
+        now: Time,
+        requester: u64,
+        planned: RankedPieces,
+        offered: RankedPieces,
+    ) {
         self.announced.borrow_mut().record(now, requester, planned);
+        self.offered.borrow_mut().record(now, requester, offered);
+    }
+
+    fn record_own_announcement(&self, traffic: &Traffic) {
+        let planned = traffic.planned.borrow().get(&self.id).cloned();
+        let offered = traffic.offered_to(&self.id);
+        let (now, me) = (traffic.now(), traffic.plan().me);
+        self.record_announcement(now, me, planned.unwrap_or_default(), offered);
+    }
+
+    /// What calls at all nodes ask of the pool.
+    pub fn demand(&self, traffic: &Traffic) -> PoolDemand {
+        self.record_own_announcement(traffic);
+        let now = traffic.now();
+        let mut offered = self.offered.borrow_mut();
+        self.queue.borrow().demand(now, offered.sum(now))
     }
 
     /// Same as [`Self::expected_wait`], by the rank of the call and with the pieces that all nodes plan to submit.
     pub fn rank_waits(&self, traffic: &Traffic) -> RankWaits {
+        self.record_own_announcement(traffic);
         let now = traffic.now();
-        let own = traffic.planned.borrow().get(&self.id).cloned();
-        self.record_announcement(now, traffic.plan().me, own.unwrap_or_default());
         let mut announced = self.announced.borrow_mut();
         self.queue.borrow().rank_waits(now, announced.sum(now))
     }
@@ -188,6 +213,7 @@
             };
             (calls, queue.next_wake(now))
         };
+        report_starved(&traffic, &pool, now);
         pool.notify_ended();
         for call in calls {
             spawn_local(run_batch(Rc::clone(&traffic), Rc::clone(&pool), call));
@@ -202,6 +228,24 @@
     }
 }
 
+/// Logs and counts the orders that were refused because they starved.
+fn report_starved(traffic: &Traffic, pool: &Pool, now: Time) {
+    for order in pool.queue.borrow_mut().take_starved() {
+        traffic.count(Counter::OrderStarved);
+        let line = LogEvent::OrderStarved {
+            id: &order.request,
+            service: &pool.id.service,
+            shard: pool.id.shard,
+            rank: order.rank,
+            pieces: order.pieces,
+            waited_ms: order.waited.as_millis(),
+            ahead: order.ahead,
+            retry_ms: order.retry_after.as_millis(),
+        };
+        traffic.log.write(now, &line);
+    }
+}
+
 /// Applies to the queue the rate limits and cooldowns that targets reported since the last time, and the
 /// share of the rates that this node may grant.
 ///
@@ -345,6 +389,13 @@
     }
 }
 
+/// How long a connection may be idle: no longer than the results that answers on it named are remembered. A late answer is
+/// recognised by these.
+fn max_idle(pool: &Pool, keep_alive: Option<Duration>) -> Duration {
+    let remembered = duration(pool.queue.borrow().result_ttl());
+    keep_alive.map_or(remembered, |keep_alive| keep_alive.min(remembered))
+}
+
 fn finish_batch(traffic: &Traffic, pool: &Pool, key: BatchKey, answer: BatchAnswer) {
     let done = matches!(answer.outcome, BatchOutcome::Done(_));
     let usable = pool
@@ -352,7 +403,10 @@
         .borrow_mut()
         .call_ended(traffic.now(), key, answer.outcome);
     match answer.connection {
-        Some((connection, keep_alive)) if usable => traffic.connections.add_idle(connection, keep_alive),
+        Some((connection, keep_alive)) if usable => {
+            let idle = max_idle(pool, keep_alive);
+            traffic.connections.add_idle(connection, Some(idle));
+        }
         // An answer that parses but is not usable for this call: its outcomes do not match the pieces, or the call is
         // no longer known. An answer by which the target reports that it was not the intended one is a refusal,
         // which is not counted here.
@@ -395,12 +449,9 @@
     let Some(request) = request(traffic, path, &call.address, &call.id, body) else {
         return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
     };
-    let to = Destination {
-        address: &call.address,
-        target: &call.id,
-        fresh: false,
-    };
-    let sent = traffic.send(&pool.id.service, to, request, || {}).await;
+    let sent = traffic
+        .send(&pool.id.service, (&call.address, &call.id), request, || {})
+        .await;
     let (connection, response) = match sent {
         Ok(sent) => sent,
         Err(SendFailure::NotWritten) => return BatchAnswer::without_connection(BatchOutcome::Unreachable),
@@ -412,7 +463,9 @@
         return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
     };
     let outcome = read_outcome(traffic, &head, parts.status, &body.to_bytes());
-    if !may_reuse(&connection, &head) {
+    // Only a result that no earlier answer named shows that an answer is not a late one; `PieceQueue` checks that. After a
+    // late answer without results the answer to this call would follow, and be taken for that of the next one.
+    if connection.is_reused() && computed_count(&outcome) == 0 {
         return BatchAnswer::without_connection(outcome);
     }
     BatchAnswer {
@@ -421,8 +474,8 @@
     }
 }
 
-/// Whether a connection may be used again after this answer. Requests to pools have no id that a refusal could name. On a
-/// connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
+/// Whether a connection may be used again after this answer to a release. Requests to pools have no id that a refusal could name.
+/// On a connection that was used before, a refusal may be a late one of an earlier request. The answer to this request would then
 /// follow, and be taken for that of the next one.
 fn may_reuse(connection: &Connection, head: &AnswerHead) -> bool {
     !(connection.is_reused() && (head.not_run || head.misdirected))
@@ -491,19 +544,18 @@
 ) {
     let sent_at = traffic.now();
     let work = async {
-        let to = Destination {
-            address: &address,
-            target: &target,
-            fresh: false,
-        };
-        let sent = traffic.send(&pool.id.service, to, request, || {}).await;
+        let sent = traffic
+            .send(&pool.id.service, (&address, &target), request, || {})
+            .await;
         let Ok((connection, response)) = sent else { return };
         let (parts, body) = response.into_parts();
         let head = target_reports::read_head(&traffic, batch_request(&target, sent_at), &parts);
         let freed = parts.status.is_success();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         if body.is_ok() && may_reuse(&connection, &head) {
-            traffic.connections.add_idle(connection, None);
+            traffic
+                .connections
+                .add_idle(connection, Some(max_idle(&pool, None)));
         }
         if freed {
             pool.queue.borrow_mut().mark_freed(&handles);
