--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -328,9 +328,10 @@
     if refused {
         record_refusal(call, target, &connection, (&parts, &head));
     }
-    let belongs_to_call = match refused {
-        true => id.proves_refusal(connection.is_reused()),
-        false => id == AnswerId::Own,
+    let belongs_to_call = if refused {
+        id.proves_refusal(connection.is_reused())
+    } else {
+        id == AnswerId::Own
     };
     if !belongs_to_call {
         // The connection is closed: the answer to the call may still arrive on it.
