Review case 3: the runner is dark for no longer than the site's largest length

Before, it stayed dark until the end of the run, beyond the 4.5 s that the site file sets. play.sh ends its processes when it is interrupted, and runners stop at the deadline that they are handed.

--- a/review/play.sh
+++ b/review/play.sh
@@ -17,8 +17,11 @@
     rm -rf "$TMPDIR"
 }
 trap end EXIT
-trap 'exit 2' INT TERM
-timeout --foreground --signal=KILL 110 "$stand" "$1" "$2"
+timeout --signal=KILL 110 "$stand" "$1" "$2" &
+driver=$!
+# `timeout` passes the signal on to its group.
+trap 'kill -TERM "$driver" 2>/dev/null; wait "$driver"; exit 2' INT TERM
+wait "$driver"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/stands/src/deployment.rs
+++ b/review/stands/src/deployment.rs
@@ -194,13 +194,27 @@
         self.store.remove(&key);
     }
 
-    /// Stops a runner with SIGSTOP: it accepts connections and answers nothing. Its entry goes after three heartbeats.
-    pub fn darken_runner(&mut self, number: usize) {
-        let runner = &self.runners[number];
-        self.log
-            .write(&format!("trouble: runner {} goes dark", runner.id));
-        signal(runner.child.id(), "STOP");
+    /// Stops a runner with SIGSTOP: it accepts connections and answers nothing. Its entry goes after three heartbeats. With
+    /// SIGCONT it goes on, and is entered again.
+    pub fn darken_runner(&mut self, number: usize, length: Duration) {
+        let (id, pid) = (self.runners[number].id.clone(), self.runners[number].child.id());
+        let mut entry = self.runners[number].entry.clone();
+        self.log.write(&format!("trouble: runner {id} goes dark"));
+        signal(pid, "STOP");
         self.lapse(number);
+        let (store, log, beating) = (
+            self.store.clone(),
+            Arc::clone(&self.log),
+            Arc::clone(&self.beating),
+        );
+        thread::spawn(move || {
+            sleep(length);
+            log.write(&format!("trouble: runner {id} goes on"));
+            signal(pid, "CONT");
+            entry.sequence += 100;
+            store.put(&entry.key, &entry.text());
+            beating.lock().unwrap().push(entry);
+        });
     }
 
     /// Has a runner write to its entry. The answer of the store is lost, and the store does the write `after` that.
--- a/review/stands/src/hang.rs
+++ b/review/stands/src/hang.rs
@@ -22,6 +22,8 @@
 
 const RUNNERS: usize = 8;
 const STREAMS: usize = 256;
+/// How long the runner is dark.
+const DARK: Duration = Duration::from_millis(4500);
 const TIMEOUT_MS: u64 = 6000;
 const GRACE_MS: u64 = 500;
 /// The rule is broken by this many requests without an answer, if they are also more than a quarter.
@@ -71,7 +73,7 @@
     }
     // A runner is added, and goes dark. Then one that runs streams crashes.
     let added = deployment.start_runner("llm", 64, &engine)?;
-    sleep(Duration::from_millis(600));
+    sleep(Duration::from_millis(1000));
     let on = |runner: &str| {
         streams
             .iter()
@@ -82,7 +84,7 @@
         .max_by_key(|number| on(&deployment.runners[*number].id))
         .unwrap_or(0);
     if trouble {
-        deployment.darken_runner(added);
+        deployment.darken_runner(added, DARK);
         deployment.crash_runner(busiest);
     }
     for client in clients {
--- a/review/stands/src/runner.rs
+++ b/review/stands/src/runner.rs
@@ -292,6 +292,10 @@
              Barleyspool-Attempt-Id: {attempt}\r\nBarleyspool-Response-Seal: {}\r\n\r\n",
             options.id
         );
+        let deadline = head
+            .header("barleyspool-deadline-ms")
+            .and_then(|text| text.parse().ok());
+        let until = Instant::now() + Duration::from_millis(deadline.unwrap_or(60_000));
         let mut result = Ok(());
         for number in after + 1..=options.events {
             let event = format!("id: {number}\ndata: from {}\n\n", options.id);
@@ -306,6 +310,10 @@
                 break;
             }
             sleep(Duration::from_millis(options.gap_ms));
+            if Instant::now() > until {
+                result = Err(io::ErrorKind::TimedOut.into());
+                break;
+            }
         }
         self.note(head, if result.is_ok() { "ends" } else { "drops" });
         result?;
