--- a/review/stands/src/deployment.rs
+++ b/review/stands/src/deployment.rs
@@ -97,14 +97,23 @@
 }
 
 impl Deployment {
-    /// Starts the store. Fails when the ports of the gateways are taken.
+    /// Starts the store, on addresses that are made from the id of this process.
     pub fn new(folder: &Path, config: &str) -> Result<Self, String> {
+        let pid = std::process::id();
+        let net = format!("127.{}.{}", 60 + pid / 250 % 150, 1 + pid % 250);
+        Self::at(folder, config, &[net.as_str()])
+    }
+
+    /// Starts the store, on the first of `nets` where its address is free. A net is the first three numbers of all addresses.
+    pub fn at(folder: &Path, config: &str, nets: &[&str]) -> Result<Self, String> {
         let fail = |error: std::io::Error| error.to_string();
         fs::create_dir_all(folder).map_err(fail)?;
         let log = Arc::new(Log::open(folder.join("events")).map_err(fail)?);
-        let pid = std::process::id();
-        let net = format!("127.{}.{}", 60 + pid / 250 % 150, 1 + pid % 250);
-        let store = Store::start(&format!("{net}.250:8624")).map_err(fail)?;
+        let start = |net: &&str| Some(((*net).to_owned(), Store::start(&format!("{net}.250:8624")).ok()?));
+        let (net, store) = nets
+            .iter()
+            .find_map(start)
+            .ok_or_else(|| format!("port 8624 is taken on {}", nets.join(", ")))?;
         store.put("op/config", config);
         let beating: Arc<Mutex<Vec<Entry>>> = Arc::default();
         let (entries, beats) = (Arc::clone(&beating), store.clone());
--- a/review/stands/src/inputs.rs
+++ b/review/stands/src/inputs.rs
@@ -37,9 +37,18 @@
 /// The runner that was added drains for this many requests before it is gone: over 2 s.
 const DRAIN_REQUESTS: usize = 160;
 const PAUSE: Duration = Duration::from_millis(15);
+/// The owner of a pool follows from the addresses of the gateways. On these the owner of the unsplit pool owns both of its shards.
+const NETS: [&str; 6] = [
+    "127.59.1",
+    "127.59.9",
+    "127.59.15",
+    "127.59.18",
+    "127.59.27",
+    "127.59.36",
+];
 
 pub fn play(folder: &Path, trouble: bool) -> Result<Verdict, String> {
-    let mut deployment = Deployment::new(folder, CONFIG)?;
+    let mut deployment = Deployment::at(folder, CONFIG, &NETS)?;
     let flag = deployment.folder.join("repeat");
     let engine = Options {
         kind: "stream".to_owned(),
