Review case 1: at most 0.03 of the answers come twice, as the site file allows

Runners of stages refuse calls beyond their queue, state their load and honour Barleyspool-Expect-Instance, as PROTOCOL says.

--- a/review/stands/src/deployment.rs
+++ b/review/stands/src/deployment.rs
@@ -281,7 +281,7 @@
     pub fn start_gateways(&mut self, count: usize) -> Result<(), String> {
         let ips: Vec<String> = (0..count).map(|_| self.take_ip()).collect();
         for ip in &ips {
-            if let Some(port) = [8625, 8621, 8628, 8620, 7740, 7755]
+            if let Some(port) = [8625, 8621, 8628, 8620, 7740, 7748, 7755]
                 .iter()
                 .find(|port| TcpListener::bind(format!("{ip}:{port}")).is_err())
             {
--- a/review/stands/src/inputs.rs
+++ b/review/stands/src/inputs.rs
@@ -4,7 +4,7 @@
 use crate::deployment::Deployment;
 use crate::runner::Options;
 use crate::{Verdict, event};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::path::Path;
 use std::sync::Arc;
 use std::thread::{self, sleep};
@@ -28,12 +28,15 @@
 
 /// The runners of the first stage; with one more the gateways split their pool.
 const INGEST: usize = 16;
-/// Those that repeat answers: five of them one each at a change.
+/// Those that repeat answers: three of them one each at a change.
 const GARBLED: usize = 9;
 /// The number of requests before the first change of the runners, and after each.
 const WARM_UP: usize = 500;
 const AFTER: usize = 440;
 const CHANGES: usize = 5;
+/// The limits of `garble` "extra late": its length, and the share of answers that come twice meanwhile.
+const GARBLE_MS: u64 = 5000;
+const GARBLE_SHARE: f64 = 0.03;
 /// The runner that was added drains for this many requests before it is gone: over 2 s.
 const DRAIN_REQUESTS: usize = 160;
 const PAUSE: Duration = Duration::from_millis(15);
@@ -66,6 +69,7 @@
         item_ms: 16,
         ..Options::default()
     };
+    let mut garbled = Vec::new();
     for number in 0..INGEST {
         let repeat_flag = if number < GARBLED {
             flag.display().to_string()
@@ -77,7 +81,10 @@
             repeat_slot: number as u64,
             ..ingest.clone()
         };
-        deployment.start_runner("ingest", 1, &options)?;
+        let runner = deployment.start_runner("ingest", 1, &options)?;
+        if number < GARBLED {
+            garbled.push(deployment.runners[runner].id.clone());
+        }
     }
     for _ in 0..12 {
         let options = Options {
@@ -128,17 +135,23 @@
 
     let lines = deployment.events();
     let mut makers: HashMap<&str, &str> = HashMap::new();
-    let (mut answers, mut repeats) = (0, 0);
-    for (_, words) in lines.iter().filter_map(|line| event(line)) {
+    let mut results = 0;
+    let (mut changes, mut answers, mut repeats) = (Vec::new(), HashSet::new(), Vec::new());
+    for (time, words) in lines.iter().filter_map(|line| event(line)) {
         match words.as_slice() {
-            ["runner", _, "makes", handle, "of", id] => {
+            ["trouble:", "change", ..] => changes.push(time),
+            ["runner", runner, "makes", handle, "of", id] => {
                 makers.insert(*handle, *id);
-                answers += 1;
+                results += 1;
+                if garbled.iter().any(|id| id == runner) {
+                    answers.insert((time, *runner));
+                }
             }
-            ["runner", _, "sends", ..] => repeats += 1,
+            ["runner", _, "sends", ..] => repeats.push(time),
             _ => {}
         }
     }
+    let share = largest_share(&changes, &answers, &repeats)?;
     let foreign: Vec<&String> = lines
         .iter()
         .filter(|line| match event(line).map(|(_, words)| words).as_deref() {
@@ -147,7 +160,10 @@
         })
         .collect();
     let summary = vec![
-        format!("{answers} results were made; {repeats} answers came a second time"),
+        format!(
+            "{results} results were made; {} answers came a second time, at most {share:.4} of those of the garbled runners in the {GARBLE_MS} ms after a change",
+            repeats.len()
+        ),
         format!(
             "inputs of another request that a runner received: {} (one breaks MIXED)",
             foreign.len()
@@ -162,3 +178,26 @@
         summary,
     })
 }
+
+/// The largest share of the answers of the garbled runners that came twice after a change. Fails beyond the limits of the site file.
+fn largest_share(changes: &[u64], answers: &HashSet<(u64, &str)>, repeats: &[u64]) -> Result<f64, String> {
+    let within = |start: u64, time: u64| (start..start + GARBLE_MS).contains(&time);
+    if !repeats
+        .iter()
+        .all(|time| changes.iter().any(|start| within(*start, *time)))
+    {
+        return Err(format!(
+            "an answer came twice later than {GARBLE_MS} ms after a change"
+        ));
+    }
+    let share = |start: &u64| {
+        let repeated = repeats.iter().filter(|time| within(*start, **time)).count();
+        let all = answers.iter().filter(|(time, _)| within(*start, *time)).count();
+        repeated as f64 / all.max(1) as f64
+    };
+    let largest = changes.iter().map(share).fold(0.0, f64::max);
+    if largest > GARBLE_SHARE {
+        return Err(format!("{largest:.4} of the answers came twice"));
+    }
+    Ok(largest)
+}
--- a/review/stands/src/runner.rs
+++ b/review/stands/src/runner.rs
@@ -11,6 +11,9 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
+/// `slots` and `queue` of the stages in the configurations.
+const STAGE_SLOTS: u64 = 1;
+const STAGE_QUEUE: u64 = 2;
 /// `handleS` of the configurations.
 const HANDLE_TTL: Duration = Duration::from_secs(4);
 
@@ -32,7 +35,7 @@
     /// A file with a number. The first answer to a stage call after the number changes is sent a second time, late: in the place of
     /// the next answer on its connection. Empty for none.
     pub repeat_flag: String,
-    /// With a number N, the runner repeats an answer if the sum of N times four and this is below five, modulo nine.
+    /// With a number N, the runner repeats an answer if the sum of N times three and this is below three, modulo nine.
     pub repeat_slot: u64,
     /// Time of a stage call and of each of its pieces, in milliseconds.
     pub call_ms: u64,
@@ -93,6 +96,8 @@
     log: Log,
     /// The slot of a stage runner, which works on one call at a time.
     slot: Mutex<()>,
+    /// The number of calls that wait or are at work.
+    calls: AtomicU64,
     next_handle: AtomicU64,
     streams: AtomicU64,
     /// The results that this runner holds, and until when.
@@ -108,6 +113,7 @@
         options,
         log,
         slot: Mutex::default(),
+        calls: AtomicU64::new(0),
         next_handle: AtomicU64::new(1),
         streams: AtomicU64::new(0),
         results: Mutex::default(),
@@ -142,7 +148,20 @@
             let Ok(body) = http::read_body(&mut reader, &head) else {
                 return;
             };
-            if head.path() == "/stage-run" {
+            if head.path() == "/stage-run" && self.is_expected(&head) {
+                let is_full = self.calls.fetch_add(1, Ordering::SeqCst) >= STAGE_SLOTS + STAGE_QUEUE;
+                if is_full {
+                    self.calls.fetch_sub(1, Ordering::SeqCst);
+                    let load = self.stage_load();
+                    let headers = [
+                        ("Barleyspool-Not-Executed", "1"),
+                        ("Barleyspool-Server-Load", load.as_str()),
+                    ];
+                    if http::answer(&mut writer, "503 Service Unavailable", &headers, b"").is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 let answer = self.run_stage(&body);
                 if writer.write_all(&answer).is_err() {
                     return;
@@ -152,7 +171,7 @@
                     .parse()
                     .unwrap_or(0);
                 let is_new = self.repeated.swap(number, Ordering::SeqCst) != number;
-                if is_new && (self.options.repeat_slot + 4 * number) % 9 < 5 {
+                if is_new && (self.options.repeat_slot + 3 * number) % 9 < 3 {
                     late = Some(answer);
                 }
                 continue;
@@ -163,6 +182,18 @@
         }
     }
 
+    fn is_expected(&self, head: &Head) -> bool {
+        let expected = head.header("barleyspool-expect-instance");
+        expected.is_none_or(|expected| expected == self.options.id)
+    }
+
+    /// The calls at work, those that wait, and the slots.
+    fn stage_load(&self) -> String {
+        let calls = self.calls.load(Ordering::SeqCst);
+        let running = calls.min(STAGE_SLOTS);
+        format!("{running},{},{STAGE_SLOTS}", calls - running)
+    }
+
     fn note(&self, head: &Head, what: &str) {
         let attempt = head.header("barleyspool-attempt-id").unwrap_or("-");
         let after = head.header("last-event-id").unwrap_or("-");
@@ -175,8 +206,7 @@
 
     fn answer(&self, writer: &mut TcpStream, head: &Head, body: &[u8]) -> io::Result<()> {
         let options = &self.options;
-        let expected = head.header("barleyspool-expect-instance");
-        if expected.is_some_and(|expected| expected != options.id) {
+        if !self.is_expected(head) {
             let headers = [("Barleyspool-Instance-Id", options.id.as_str())];
             return http::answer(writer, "421 Misdirected Request", &headers, b"");
         }
@@ -216,6 +246,7 @@
             self.options.call_ms + items.len() as u64 * self.options.item_ms,
         ));
         drop(slot);
+        self.calls.fetch_sub(1, Ordering::SeqCst);
         let outcome = |(item, whole): (&&str, &bool)| {
             if !whole {
                 return "{\"reason\":\"gone\"}".to_owned();
@@ -233,8 +264,12 @@
         };
         let outcomes: Vec<String> = items.iter().zip(&is_whole).map(outcome).collect();
         let body = format!("{{\"items\":[{}]}}", outcomes.join(","));
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length:";
-        format!("{head} {}\r\n\r\n{body}", body.len()).into_bytes()
+        let load = self.stage_load();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nBarleyspool-Server-Load: {load}\r\nContent-Length: {}",
+            body.len()
+        );
+        format!("{head}\r\n\r\n{body}").into_bytes()
     }
 
     /// Fetches the inputs of a piece from their makers; returns whether all were there.
