--- /dev/null
+++ b/review/stands-2/src/fleet.rs
@@ -0,0 +1,258 @@
+//! Starts gateways with the command of the deploy file and runners as processes of their own, and ends them all.
+
+use crate::http::{Link, Message};
+use crate::store::Store;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The record of a case: what was sent, answered and run.
+#[derive(Clone)]
+pub struct Record {
+    file: Arc<Mutex<File>>,
+    begun: Instant,
+}
+
+impl Record {
+    pub fn create(path: &Path) -> Self {
+        let file = File::create(path).expect("the record can be written");
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            begun: Instant::now(),
+        }
+    }
+
+    pub fn line(&self, text: &str) {
+        let at = self.begun.elapsed().as_secs_f64();
+        let _ = writeln!(self.file.lock().expect("the lock"), "{at:8.3} {text}");
+    }
+
+    /// Writes a line to the record and to standard output.
+    pub fn tell(&self, text: &str) {
+        self.line(text);
+        println!("{text}");
+    }
+}
+
+/// The processes that this run has started and not ended yet.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// A process that is killed when this is dropped.
+pub struct Process(Child);
+
+impl Process {
+    pub fn new(child: Child) -> Self {
+        STARTED.lock().expect("the lock").push(child.id());
+        Self(child)
+    }
+
+    pub fn kill(&mut self) {
+        STARTED.lock().expect("the lock").retain(|id| *id != self.0.id());
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+
+    /// Sends the named signal.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill -{name} {}", self.0.id()))
+            .status();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A runner.
+pub struct Runner {
+    pub id: String,
+    pub address: String,
+    pub process: Process,
+    pub service: String,
+    pub slots: u32,
+    pub zone: String,
+}
+
+impl Runner {
+    /// Starts a runner of `service`, whose arguments are `options`, and lists it in the store.
+    pub fn start(
+        store: &Store,
+        record: &Record,
+        id: &str,
+        service: &str,
+        slots: u32,
+        options: &[&str],
+    ) -> Self {
+        let program = std::env::current_exe().expect("the path of this program");
+        let mut child = Command::new(program)
+            .args(["target", id])
+            .args(options)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the runner starts");
+        let mut lines = BufReader::new(child.stdout.take().expect("its output"));
+        let mut address = String::new();
+        lines.read_line(&mut address).expect("its address");
+        let (record, name) = (record.clone(), id.to_owned());
+        std::thread::spawn(move || {
+            for line in lines.lines().map_while(Result::ok) {
+                record.line(&format!("runner {name}: {line}"));
+            }
+        });
+        let runner = Self {
+            id: id.to_owned(),
+            address: address.trim().to_owned(),
+            process: Process::new(child),
+            service: service.to_owned(),
+            slots,
+            zone: "z".to_owned(),
+        };
+        runner.list(store, "ready");
+        runner
+    }
+
+    pub fn list(&self, store: &Store, state: &str) {
+        let entry = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":1}}",
+            self.service, self.address, self.zone, self.slots
+        );
+        store.put(&format!("servers/{}", self.id), &entry);
+    }
+}
+
+/// A gateway.
+pub struct Gateway {
+    pub ip: String,
+    pub process: Process,
+}
+
+/// The IP address of gateway `number` of this run, in the loopback range.
+pub fn gateway_ip(number: u32) -> String {
+    let pid = std::process::id();
+    format!("127.{}.{}.{}", 20 + pid / 250 % 200, pid % 250, 1 + number)
+}
+
+impl Gateway {
+    /// Starts a gateway with the settings that the template of the deploy file makes.
+    pub fn start(folder: &Path, ip: &str, seeds: &[String], store: &Store) -> Self {
+        let settings = folder.join(format!("{ip}.json"));
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8628\"")).collect();
+        let text = format!(
+            r#"{{"node": "frontend-{ip}", "zone": "z", "region": "r",
+ "callers": "{ip}:8625", "ready": "{ip}:8621", "directory": "{ip}:8620", "members": "{ip}:7740", "pieces": "{ip}:7740",
+ "peer_sends": "{ip}:8628", "relay": "{ip}:7755", "metrics": "{ip}:7748", "seeds": [{}], "source": "{}",
+ "address_keep_ms": 2000, "stop_accept_ms": 2500, "stop_end_ms": 7200,
+ "retry": {{ "ratio": 0.2, "fixed": 58, "window_s": 10 }}, "link_mbps": 1000, "body_memory_mb": 64, "answer_memory_mb": 48,
+ "callers_resend_keys": false, "log": {{ "lines_per_s": 400, "good_lines_per_s": 300, "queue": 2048 }} }}"#,
+            seeds.join(","),
+            store.address
+        );
+        std::fs::write(&settings, text).expect("the settings can be written");
+        let process = Self::spawn(folder, ip, &settings);
+        Self {
+            ip: ip.to_owned(),
+            process,
+        }
+    }
+
+    /// Starts the program as the deploy file does: from the root of the repository, without arguments.
+    fn spawn(folder: &Path, ip: &str, settings: &Path) -> Process {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{ip}.log")));
+        let child = Command::new("target/release/barleyspool-gateway")
+            .env("BARLEYSPOOL_NODE_FILE", settings)
+            .stdout(log.expect("the log can be written"))
+            .spawn()
+            .unwrap_or_else(|error| unable(&format!("the gateway does not start: {error}")));
+        Process::new(child)
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        format!("{}:8625", self.ip).parse().expect("an address")
+    }
+
+    /// Waits until it says that it is ready.
+    pub fn wait_until_ready(&self) {
+        let address: SocketAddr = format!("{}:8621", self.ip).parse().expect("an address");
+        let until = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < until {
+            let request = "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            if exchange(address, request, Duration::from_secs(1)).is_some_and(|answer| answer.status() == 200)
+            {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        unable("the gateway does not become ready");
+    }
+}
+
+/// Sends one request on a new connection; `None` when no head of an answer came.
+pub fn exchange(address: SocketAddr, request: &str, wait: Duration) -> Option<Message> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    let _ = stream.set_read_timeout(Some(wait));
+    let mut link = Link::new(stream);
+    if !link.write(request.as_bytes()) {
+        return None;
+    }
+    link.answer()
+}
+
+/// Sends one request on the kept connection, or on a new one if there is none; `None` when no head of an answer came. The
+/// connection is kept after a whole answer that does not close it.
+pub fn exchange_kept(
+    address: SocketAddr,
+    kept: &mut Option<Link>,
+    request: &str,
+    wait: Duration,
+) -> Option<Message> {
+    let mut link = match kept.take() {
+        Some(link) => link,
+        None => {
+            let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+            let _ = stream.set_read_timeout(Some(wait));
+            Link::new(stream)
+        }
+    };
+    if !link.write(request.as_bytes()) {
+        return None;
+    }
+    let answer = link.answer()?;
+    let closes = answer
+        .header("connection")
+        .is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    if answer.whole && !closes {
+        *kept = Some(link);
+    }
+    Some(answer)
+}
+
+/// Ends the case as one that could not run.
+pub fn unable(cause: &str) -> ! {
+    eprintln!("could not run: {cause}");
+    let started = STARTED.lock().map(|ids| ids.clone()).unwrap_or_default();
+    for id in started {
+        let _ = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill -KILL {id}"))
+            .status();
+    }
+    std::process::exit(2);
+}
+
+/// A new folder for the files of this run.
+pub fn folder() -> PathBuf {
+    let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap_or_else(|error| unable(&format!("{}: {error}", path.display())));
+    path
+}
