--- a/review/stands-2/src/fleet.rs
+++ b/review/stands-2/src/fleet.rs
@@ -79,6 +79,8 @@
     pub service: String,
     pub slots: u32,
     pub zone: String,
+    /// The lines that it has printed, and when they came.
+    pub runs: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
 impl Runner {
@@ -90,10 +92,23 @@
         service: &str,
         slots: u32,
         options: &[&str],
+    ) -> Self {
+        Self::start_as(store, record, "target", id, service, slots, options)
+    }
+
+    /// The same for a runner of this kind, which is the first word of the program's arguments.
+    pub fn start_as(
+        store: &Store,
+        record: &Record,
+        kind: &str,
+        id: &str,
+        service: &str,
+        slots: u32,
+        options: &[&str],
     ) -> Self {
         let program = std::env::current_exe().expect("the path of this program");
         let mut child = Command::new(program)
-            .args(["target", id])
+            .args([kind, id])
             .args(options)
             .stdout(Stdio::piped())
             .spawn()
@@ -102,9 +117,12 @@
         let mut address = String::new();
         lines.read_line(&mut address).expect("its address");
         let (record, name) = (record.clone(), id.to_owned());
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let noted = Arc::clone(&runs);
         std::thread::spawn(move || {
             for line in lines.lines().map_while(Result::ok) {
                 record.line(&format!("runner {name}: {line}"));
+                noted.lock().expect("the lock").push((Instant::now(), line));
             }
         });
         let runner = Self {
@@ -114,6 +132,7 @@
             service: service.to_owned(),
             slots,
             zone: "z".to_owned(),
+            runs,
         };
         runner.list(store, "ready");
         runner
--- a/review/stands-2/src/main.rs
+++ b/review/stands-2/src/main.rs
@@ -4,8 +4,10 @@
 mod case_4;
 mod case_5;
 mod case_6;
+mod case_7;
 mod fleet;
 mod http;
+mod stages;
 mod store;
 mod target;
 
@@ -24,6 +26,14 @@
             port: port.parse().unwrap_or(0),
             work: Duration::from_millis(work_ms.parse().unwrap_or(0)),
         }),
+        ["stage", id, call_ms, item_ms, keep_ms] => {
+            let ms = |text: &str| Duration::from_secs_f64(text.parse().unwrap_or(0.0) / 1000.0);
+            stages::run_stage(id, ms(call_ms), ms(item_ms), ms(keep_ms));
+        }
+        ["model", id, slots, queue, work_ms] => {
+            let work = Duration::from_millis(work_ms.parse().unwrap_or(0));
+            stages::run_model(id, slots.parse().unwrap_or(1), queue.parse().unwrap_or(0), work);
+        }
         ["case", number, folder] => {
             std::panic::set_hook(Box::new(|panic| fleet::unable(&panic.to_string())));
             let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
@@ -32,6 +42,7 @@
                 "4" => case_4::run(&record, trouble),
                 "5" => case_5::run(&record, trouble),
                 "6" => case_6::run(&record, trouble),
+                "7" => case_7::run(&record, trouble),
                 _ => fleet::unable("no such case"),
             };
             record.tell(if held {
--- a/review/stands-2/src/target.rs
+++ b/review/stands-2/src/target.rs
@@ -54,7 +54,7 @@
     (hash >> 20) % 100 < share
 }
 
-fn say(line: &str) {
+pub fn say(line: &str) {
     let mut output = std::io::stdout().lock();
     let _ = writeln!(output, "{line}");
     let _ = output.flush();
