--- a/review/stands-2/src/case_4.rs
+++ b/review/stands-2/src/case_4.rs
@@ -23,7 +23,10 @@
 const CRASHES: u32 = 8;
 /// How long a runner is away, and the time from its return to the next crash.
 const AWAY: Duration = Duration::from_millis(4500);
-const BETWEEN: Duration = Duration::from_millis(2500);
+const BETWEEN: Duration = Duration::from_millis(500);
+/// How long a part of the answers has no length, 5 s in the site file, and how much of that is before the crash.
+const GARBLED: Duration = Duration::from_millis(4900);
+const BEFORE: Duration = Duration::from_millis(2500);
 /// The entry of a crashed runner goes after three heartbeats of 1.2 s.
 const ENTRY_GONE: Duration = Duration::from_millis(3600);
 
@@ -85,15 +88,26 @@
             })
         })
         .collect();
-    std::thread::sleep(Duration::from_secs(3));
+    std::thread::sleep(Duration::from_secs(2));
     for crash in 0..CRASHES {
+        let garbled = |runners: &mut Vec<Runner>, on| {
+            record.line(&format!("a part of the answers has no length: {on}"));
+            runners
+                .iter_mut()
+                .take(UNFRAMED_RUNNERS as usize)
+                .for_each(|runner| runner.set_unframed(on));
+        };
+        garbled(&mut runners, true);
+        std::thread::sleep(BEFORE);
         let place = (crash % UNFRAMED_RUNNERS) as usize;
         let crashed_at = Instant::now();
         if trouble {
             record.line(&format!("runner {} crashes", runners[place].id));
-            runners[place].process.kill();
+            runners[place].crash();
         }
-        std::thread::sleep(ENTRY_GONE);
+        std::thread::sleep(GARBLED - BEFORE);
+        garbled(&mut runners, false);
+        std::thread::sleep(ENTRY_GONE.saturating_sub(crashed_at.elapsed()));
         if trouble {
             store.remove(&format!("servers/{}", runners[place].id));
         }
--- a/review/stands-2/src/case_5.rs
+++ b/review/stands-2/src/case_5.rs
@@ -11,10 +11,10 @@
 const RECOVERY: Duration = Duration::from_secs(18);
 const COUNTED: Duration = Duration::from_secs(12);
 /// How long the processes are away.
-const DOWN: Duration = Duration::from_millis(1100);
+const DOWN: Duration = Duration::from_millis(530);
 const GATEWAYS: u32 = 2;
 /// The runners of another service, which gets no requests.
-const OTHERS: u32 = 49;
+const OTHERS: u32 = 199;
 const WORK_MS: &str = "20";
 
 const CONFIG: &str = r#"{"version": 1, "routes": [
--- a/review/stands-2/src/case_6.rs
+++ b/review/stands-2/src/case_6.rs
@@ -25,7 +25,9 @@
 const CRASH: Duration = Duration::from_millis(200);
 const REUSE: Duration = Duration::from_millis(2300);
 const ENTRY_GONE: Duration = Duration::from_millis(3800);
-const BETWEEN: Duration = Duration::from_millis(5500);
+const BETWEEN: Duration = Duration::from_millis(1000);
+/// How long streams without a length begin before the gateway stands still: below the 5 s of the site file.
+const GARBLED: Duration = Duration::from_millis(4500);
 
 const CONFIG: &str = r#"{"version": 1, "routes": [
  {"name": "dedup-label", "host": "shop.example", "pathPrefix": "/label/", "type": "streaming", "timeoutMs": 12000,
@@ -86,8 +88,18 @@
             })
         })
         .collect();
-    std::thread::sleep(Duration::from_secs(4));
+    std::thread::sleep(Duration::from_secs(2));
     for round in 0..ROUNDS {
+        let garbled = |runners: &mut Vec<Runner>, on| {
+            record.line(&format!("a part of the streams has no length: {on}"));
+            runners
+                .iter_mut()
+                .take(UNFRAMED_RUNNERS as usize)
+                .for_each(|runner| runner.set_unframed(on));
+        };
+        garbled(&mut runners, true);
+        std::thread::sleep(GARBLED);
+        garbled(&mut runners, false);
         let begun = Instant::now();
         let wait = |until: Duration| std::thread::sleep(until.saturating_sub(begun.elapsed()));
         let number = round % UNFRAMED_RUNNERS;
@@ -97,7 +109,7 @@
             gateway.process.signal("STOP");
             wait(CRASH);
             record.line(&format!("runner {} crashes", runners[place].id));
-            runners[place].process.kill();
+            runners[place].crash();
             wait(REUSE);
             let port = runners[place]
                 .address
--- a/review/stands-2/src/case_7.rs
+++ b/review/stands-2/src/case_7.rs
@@ -11,8 +11,9 @@
 const RATIO: f64 = 0.2;
 const SLACK: f64 = 58.0;
 const WINDOW: f64 = 10.0;
-/// Requests a second in calm, and how many times as many come in the burst.
-const CALM_PER_S: f64 = 44.0;
+/// Requests a second of each kind in calm, and how many times as many of the first kind come in the burst.
+const HUNTS_PER_S: f64 = 30.0;
+const LABELS_PER_S: f64 = 14.0;
 const BURST: f64 = 2.4;
 const CALM: Duration = Duration::from_secs(12);
 const BURST_TIME: Duration = Duration::from_millis(6600);
@@ -21,8 +22,12 @@
 const MODEL_RUNNERS: u32 = 2;
 
 const CONFIG: &str = r#"{"version": 1, "routes": [
+ {"name": "regression-hunt", "host": "shop.example", "pathPrefix": "/hunt/", "type": "streaming", "timeoutMs": 8000,
+  "targetLatencyMs": 1600, "priority": 0, "service": "triage-llm", "maxAttempts": 2,
+  "stages": [{"service": "dashboard", "sinceRevision": [], "bytes": 20000}], "public": false, "sessionAffinity": true,
+  "resumable": false},
  {"name": "dedup-label", "host": "shop.example", "pathPrefix": "/label/", "type": "streaming", "timeoutMs": 12000,
-  "targetLatencyMs": 1400, "priority": 2, "service": "triage-llm", "maxAttempts": 2,
+  "targetLatencyMs": 1400, "priority": 2, "service": "triage-llm", "maxAttempts": 1,
   "stages": [{"service": "dashboard", "sinceRevision": [], "bytes": 20000}], "public": false, "sessionAffinity": true,
   "resumable": false}],
  "services": [{"name": "triage-llm", "healthCheckPath": "/health", "maxConnections": 370,
@@ -60,7 +65,7 @@
             &id,
             "triage-llm",
             16,
-            &["16", "32", "400"],
+            &["16", "32", "440"],
         ));
     }
     let ip = gateway_ip(0);
@@ -72,12 +77,17 @@
     let ends: Arc<[AtomicU32; 3]> = Arc::default();
     let mut number = 0u32;
     let mut callers = Vec::new();
-    let mut call_for = |time: Duration, per_s: f64| {
-        let until = Instant::now() + time;
-        let mut next = Instant::now();
-        while next < until {
-            std::thread::sleep(next.saturating_duration_since(Instant::now()));
-            next += Duration::from_secs_f64(1.0 / per_s);
+    let mut call_for = |time: Duration, hunts_per_s: f64| {
+        let start = Instant::now();
+        let mut next = [start, start];
+        loop {
+            let kind = usize::from(next[1] < next[0]);
+            if next[kind] >= start + time {
+                return;
+            }
+            std::thread::sleep(next[kind].saturating_duration_since(Instant::now()));
+            next[kind] += Duration::from_secs_f64(1.0 / [hunts_per_s, LABELS_PER_S][kind]);
+            let (path, deadline) = [("/hunt/a", 8000), ("/label/a", 12000)][kind];
             number += 1;
             let id = format!("{number:016x}");
             sent.lock().expect("the lock").push(begun.elapsed().as_secs_f64());
@@ -85,7 +95,7 @@
             let (record, ends) = (record.clone(), Arc::clone(&ends));
             callers.push(std::thread::spawn(move || {
                 let request = format!(
-                    "POST /label/a HTTP/1.1\r\nHost: shop.example\r\nBarleyspool-Attempt-Id: {id}\r\nBarleyspool-Model: m\r\nBarleyspool-Token-Counts: 1460,80\r\nBarleyspool-Prefix-Hash: 5c1e07a2:350,{id}:1110\r\nBarleyspool-Pieces: 3\r\nBarleyspool-Piece-Key: {id}\r\nBarleyspool-Deadline-Ms: 12000\r\nBarleyspool-Key: k1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"
+                    "POST {path} HTTP/1.1\r\nHost: shop.example\r\nBarleyspool-Attempt-Id: {id}\r\nBarleyspool-Model: m\r\nBarleyspool-Token-Counts: 1460,80\r\nBarleyspool-Prefix-Hash: 5c1e07a2:350,{id}:1110\r\nBarleyspool-Pieces: 3\r\nBarleyspool-Piece-Key: {id}\r\nBarleyspool-Deadline-Ms: {deadline}\r\nBarleyspool-Key: k1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"
                 );
                 let answer = exchange(address, &request, Duration::from_secs(14));
                 let status = answer.map_or(0, |answer| if answer.whole { answer.status() } else { 0 });
@@ -99,11 +109,14 @@
             }));
         }
     };
-    call_for(CALM, CALM_PER_S);
+    call_for(CALM, HUNTS_PER_S);
     record.line("many users come at once");
-    call_for(BURST_TIME, if trouble { CALM_PER_S * BURST } else { CALM_PER_S });
+    call_for(
+        BURST_TIME,
+        if trouble { HUNTS_PER_S * BURST } else { HUNTS_PER_S },
+    );
     record.line("that is over");
-    call_for(AFTER, CALM_PER_S);
+    call_for(AFTER, HUNTS_PER_S);
     for caller in callers {
         let _ = caller.join();
     }
--- a/review/stands-2/src/case_8.rs
+++ b/review/stands-2/src/case_8.rs
@@ -1,14 +1,13 @@
 //! The store does a runner's write late, after the runner has said that it drains.
 
-use crate::fleet::{exchange, folder, gateway_ip, unable, Gateway, Record, Runner};
+use crate::fleet::{exchange, folder, gateway_ip, unable, Gateway, Record, Runner, HEARTBEAT};
 use crate::store::Store;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// `heartbeatMs` and `drainMs` of the site.
-const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// `drainMs` of the site.
 const DRAIN: Duration = Duration::from_millis(2000);
 /// How long a runner serves on after `drainMs`.
 const SERVES_ON: Duration = Duration::from_millis(300);
@@ -91,25 +90,27 @@
     let mut was_ready = true;
     let end = HEARTBEAT * DRAINS + DRAIN + SERVES_ON;
     let mut beat = 0;
+    // The last of its own heartbeats before these.
+    let base = runner.stop_beats();
+    let lost = base + 1 + LOST;
     loop {
         let next = HEARTBEAT * beat;
         if let Some(at) = late_write.filter(|at| *at <= next.min(end)) {
             wait(at);
             record.line(&format!(
                 "the store does write {} of {} late: ready",
-                LOST + 2,
-                runner.id
+                lost, runner.id
             ));
-            store.put(&key, &runner.entry("ready", LOST + 2));
+            store.put(&key, &runner.entry("ready", lost));
             (late_write, was_ready) = (None, true);
         }
         if next >= end {
             break;
         }
         wait(next);
-        let (state, sequence) = (if beat < DRAINS { "ready" } else { "draining" }, beat + 2);
+        let (state, sequence) = (if beat < DRAINS { "ready" } else { "draining" }, base + 1 + beat);
         beat += 1;
-        if trouble && sequence == LOST + 2 {
+        if trouble && sequence == lost {
             record.line(&format!(
                 "the answer to write {sequence} of {} is lost",
                 runner.id
--- a/review/stands-2/src/fleet.rs
+++ b/review/stands-2/src/fleet.rs
@@ -4,9 +4,9 @@
 use crate::store::Store;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -71,6 +71,9 @@
     }
 }
 
+/// `heartbeatMs` of the sites.
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+
 /// A runner.
 pub struct Runner {
     pub id: String,
@@ -81,6 +84,22 @@
     pub zone: String,
     /// The lines that it has printed, and when they came.
     pub runs: Arc<Mutex<Vec<(Instant, String)>>>,
+    input: ChildStdin,
+    beats: Arc<Mutex<Beats>>,
+}
+
+/// The writes of a runner to its entry.
+#[derive(Default)]
+struct Beats {
+    state: String,
+    sequence: u32,
+    stopped: bool,
+}
+
+impl Drop for Runner {
+    fn drop(&mut self) {
+        self.stop_beats();
+    }
 }
 
 impl Runner {
@@ -110,9 +129,11 @@
         let mut child = Command::new(program)
             .args([kind, id])
             .args(options)
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .expect("the runner starts");
+        let input = child.stdin.take().expect("its input");
         let mut lines = BufReader::new(child.stdout.take().expect("its output"));
         let mut address = String::new();
         lines.read_line(&mut address).expect("its address");
@@ -133,22 +154,76 @@
             slots,
             zone: "z".to_owned(),
             runs,
+            input,
+            beats: Arc::default(),
         };
         runner.list(store, "ready");
+        runner.beat_often(store);
         runner
     }
 
     /// Writes its entry in this state.
     pub fn list(&self, store: &Store, state: &str) {
-        store.put(&format!("servers/{}", self.id), &self.entry(state, 1));
+        let mut beats = self.beats.lock().expect("the lock");
+        beats.sequence += 1;
+        beats.state = state.to_owned();
+        store.put(
+            &format!("servers/{}", self.id),
+            &self.entry(state, beats.sequence),
+        );
+    }
+
+    /// Writes its entry every [`HEARTBEAT`] until it crashes or ends.
+    fn beat_often(&self, store: &Store) {
+        let (store, beats, key) = (
+            store.clone(),
+            Arc::clone(&self.beats),
+            format!("servers/{}", self.id),
+        );
+        let (before, after) = self.entry_around();
+        std::thread::spawn(move || loop {
+            std::thread::sleep(HEARTBEAT);
+            let mut beats = beats.lock().expect("the lock");
+            if beats.stopped {
+                return;
+            }
+            beats.sequence += 1;
+            let entry = format!("{before}{}{after}{}}}", beats.state, beats.sequence);
+            store.put_unchanged(&key, &entry);
+        });
+    }
+
+    /// Ends its own heartbeats, and returns the number of its last write.
+    pub fn stop_beats(&self) -> u32 {
+        let mut beats = self.beats.lock().expect("the lock");
+        beats.stopped = true;
+        beats.sequence
+    }
+
+    /// Kills it.
+    pub fn crash(&mut self) {
+        self.stop_beats();
+        self.process.kill();
+    }
+
+    /// Tells it whether some of its answers have no length from now on.
+    pub fn set_unframed(&mut self, on: bool) {
+        let _ = writeln!(self.input, "{}", if on { "on" } else { "off" });
     }
 
     /// Its entry in this state, as its write with this number.
     pub fn entry(&self, state: &str, sequence: u32) -> String {
-        format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{sequence}}}",
+        let (before, after) = self.entry_around();
+        format!("{before}{state}{after}{sequence}}}")
+    }
+
+    /// Its entry before the state, and from there to the number of the write.
+    fn entry_around(&self) -> (String, &'static str) {
+        let before = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"",
             self.service, self.address, self.zone, self.slots
-        )
+        );
+        (before, "\",\"coldRemainingMs\":0,\"sequence\":")
     }
 }
 
@@ -158,10 +233,21 @@
     pub process: Process,
 }
 
-/// The IP address of gateway `number` of this run, in the loopback range.
+/// The ports of a gateway.
+const PORTS: [u16; 7] = [8620, 8621, 8625, 8628, 7740, 7755, 7748];
+
+/// The IP address of gateway `number` of this run, in the loopback range: the first on which all ports are free.
 pub fn gateway_ip(number: u32) -> String {
     let pid = std::process::id();
-    format!("127.{}.{}.{}", 20 + pid / 250 % 200, pid % 250, 1 + number)
+    for attempt in 0..20 {
+        let second = 20 + (pid / 250 + attempt * 7) % 200;
+        let ip = format!("127.{second}.{}.{}", pid % 250, 1 + number);
+        let is_free = |port: &u16| TcpListener::bind((ip.as_str(), *port)).is_ok();
+        if PORTS.iter().all(is_free) && UdpSocket::bind((ip.as_str(), 7740)).is_ok() {
+            return ip;
+        }
+    }
+    unable("no loopback address with free ports");
 }
 
 impl Gateway {
--- a/review/stands-2/src/main.rs
+++ b/review/stands-2/src/main.rs
@@ -36,6 +36,10 @@
             stages::run_model(id, slots.parse().unwrap_or(1), queue.parse().unwrap_or(0), work);
         }
         ["case", number, folder] => {
+            std::thread::spawn(|| {
+                std::thread::sleep(Duration::from_secs(115));
+                fleet::unable("it takes too long");
+            });
             std::panic::set_hook(Box::new(|panic| fleet::unable(&panic.to_string())));
             let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
             let record = Record::create(&Path::new(folder).join("record.txt"));
--- a/review/stands-2/src/store.rs
+++ b/review/stands-2/src/store.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-/// The items of a page, as in the site files.
-const PAGE: usize = 50;
+/// The items of a page, as in the site file of the fleet.
+const PAGE: usize = 200;
 
 #[derive(Default)]
 struct State {
@@ -47,6 +47,9 @@
     /// Writes an entry that counts as unchanged: readers see it, and watches hear nothing of it.
     pub fn put_unchanged(&self, key: &str, value: &str) {
         let mut state = self.shared.0.lock().expect("the lock");
+        if !state.items.contains_key(key) {
+            return;
+        }
         state.revision += 1;
         let revision = state.revision;
         let item = (base64(value.as_bytes()), revision);
--- a/review/stands-2/src/target.rs
+++ b/review/stands-2/src/target.rs
@@ -5,9 +5,13 @@
 use crate::http::Link;
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Whether a part of the answers has no length now, as the last line of the standard input says.
+static UNFRAMED: AtomicBool = AtomicBool::new(false);
+
 /// How a runner answers.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -40,6 +44,11 @@
     let listener = TcpListener::bind(("127.0.0.1", options.port)).expect("the port is free");
     say(&listener.local_addr().expect("an address").to_string());
     let options = Arc::new(options);
+    std::thread::spawn(|| {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            UNFRAMED.store(line == "on", Ordering::Relaxed);
+        }
+    });
     for stream in listener.incoming().flatten() {
         let options = Arc::clone(&options);
         std::thread::spawn(move || serve(&options, Link::new(stream)));
@@ -92,7 +101,7 @@
         }
         let body = body_of(&id);
         say(&format!("RUN {id}"));
-        let unframed = is_drawn(&id, options.unframed);
+        let unframed = UNFRAMED.load(Ordering::Relaxed) && is_drawn(&id, options.unframed);
         let framing = if unframed {
             "Connection: close\r\n".to_owned()
         } else if options.events > 0 {
