--- a/review/stands-2/src/fleet.rs
+++ b/review/stands-2/src/fleet.rs
@@ -357,12 +357,17 @@
             .arg(format!("kill -KILL {id}"))
             .status();
     }
+    let _ = std::fs::remove_dir_all(folder_path());
     std::process::exit(2);
 }
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
+}
+
 /// A new folder for the files of this run.
 pub fn folder() -> PathBuf {
-    let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    let path = folder_path();
     std::fs::create_dir_all(&path).unwrap_or_else(|error| unable(&format!("{}: {error}", path.display())));
     path
 }
--- a/review/stands-2/src/store.rs
+++ b/review/stands-2/src/store.rs
@@ -9,6 +9,9 @@
 /// The items of a page, as in the site file of the fleet.
 const PAGE: usize = 200;
 
+/// How long an answer takes, as the sheet of the site says.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -96,6 +99,7 @@
                 }
                 _ => ("404 Not Found", String::new()),
             };
+            std::thread::sleep(ANSWER_TIME);
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
