--- a/review/stands-2/src/case_5.rs
+++ b/review/stands-2/src/case_5.rs
@@ -1,6 +1,6 @@
 //! All gateways are killed and start again while the list of runners holds an entry of another writer.
 
-use crate::fleet::{exchange, folder, gateway_ip, unable, Gateway, Record, Runner};
+use crate::fleet::{exchange, folder, gateway_ip, unable, Gateway, Record, Runner, HEARTBEAT};
 use crate::store::Store;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
@@ -30,13 +30,25 @@
     let folder = folder();
     let store = Store::start();
     store.put("op/config", CONFIG);
-    for number in 0..OTHERS {
-        let entry = format!(
-            "{{\"service\":\"archive\",\"address\":\"127.9.0.{}:9\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1}}",
+    let entry = |number: u32, sequence: u32| {
+        format!(
+            "{{\"service\":\"archive\",\"address\":\"127.9.0.{}:9\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{sequence}}}",
             number + 1
-        );
-        store.put(&format!("servers/i-{number:04}"), &entry);
+        )
+    };
+    for number in 0..OTHERS {
+        store.put(&format!("servers/i-{number:04}"), &entry(number, 1));
     }
+    // They write their entries as living runners do.
+    let written = store.clone();
+    std::thread::spawn(move || {
+        for sequence in 2.. {
+            std::thread::sleep(HEARTBEAT);
+            for number in 0..OTHERS {
+                written.put_unchanged(&format!("servers/i-{number:04}"), &entry(number, sequence));
+            }
+        }
+    });
     let start = |id: &str| Runner::start(&store, record, id, "notifier", 6, &["0", WORK_MS, "0", "0"]);
     let runners = [start("r-1"), start("r-2")];
     let ips: Vec<String> = (0..GATEWAYS).map(gateway_ip).collect();
