--- a/review/stands-2/src/case_4.rs
+++ b/review/stands-2/src/case_4.rs
@@ -16,7 +16,7 @@
 /// How many of a hundred answers of these have no length, as in a day of the site file.
 const UNFRAMED_SHARE: &str = "5";
 const SLOTS: u32 = 64;
-/// So few that a runner never has more requests at a time than it has slots, and none has to wait.
+/// 40 for each of the runners while one is away, which have 64 slots, so that no request has to wait.
 const CALLERS: u32 = 240;
 /// The time between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(20);
