Pause before a source that keeps no history is read again

A node whose watch found the history gone read everything again at once, and so on without end: 2,668 calls in 3 s of one node at a source that answers each watch with 410 (a source that is restored again and again looks the same). Calls of all nodes are limited and priced, so the nodes would have taken them from each other.

The first read still follows at once; from the second one on, without a watch that succeeded in between, the delays are those after failures, 60 ms to 1.5 s.

--- a/crates/barleyspool_core/src/forward/feed_cursor.rs
+++ b/crates/barleyspool_core/src/forward/feed_cursor.rs
@@ -44,6 +44,8 @@
     since: Option<Revision>,
     /// Number of consecutive failures.
     failures: u32,
+    /// Number of consecutive reads whose watch found the history gone.
+    resets: u32,
 }
 
 impl FeedCursor {
@@ -59,13 +61,22 @@
     /// revisions restart enters a later era.
     pub fn advance(&mut self, at: Revision) {
         self.failures = 0;
+        if self.since.is_some() {
+            self.resets = 0;
+        }
         self.since = Some(self.since.map_or(at, |since| since.max(at)));
     }
 
-    /// Makes the next request read the whole feed: the platform no longer keeps the changes after the
-    /// requested revision, or another node knows of a change that a watch should have delivered.
-    pub fn reset(&mut self) {
+    /// Makes the next request read the whole feed, since the platform no longer keeps the changes after the
+    /// requested revision or was restored, and returns the maximum delay before it. The first read follows at
+    /// once; a platform that keeps no history must not be read in a loop without a pause.
+    pub fn reset(&mut self) -> Span {
         self.since = None;
+        self.resets += 1;
+        match self.resets {
+            1 => Span::ZERO,
+            resets => retry_delay(resets - 2),
+        }
     }
 
     /// Continues from the revision of data received from another node. The whole feed is read instead if that
@@ -79,8 +90,12 @@
     /// changes that a new watch does not deliver, so the whole feed is read again.
     pub fn record_failure(&mut self) -> Span {
         self.since = None;
-        let doubled = Span(MIN_RETRY_DELAY.0 << self.failures.min(6));
         self.failures += 1;
-        doubled.min(MAX_RETRY_DELAY)
+        retry_delay(self.failures - 1)
     }
 }
+
+/// The maximum delay before a retry after this number of earlier ones.
+fn retry_delay(earlier: u32) -> Span {
+    Span(MIN_RETRY_DELAY.0 << earlier.min(6)).min(MAX_RETRY_DELAY)
+}
--- a/crates/barleyspool_core/tests/forward_catalog.rs
+++ b/crates/barleyspool_core/tests/forward_catalog.rs
@@ -4,7 +4,7 @@
 
 use barleyspool_core::{
     Catalog, CatalogDocument, CatalogError, CatalogStore, FeedCursor, FeedStep, ForwardOrganisation,
-    ForwardService, OfferResult, PoolSpec, Revision, Route, StageSpec, TargetChange, TargetEntry,
+    ForwardService, OfferResult, PoolSpec, Revision, Route, Span, StageSpec, TargetChange, TargetEntry,
     TargetStore, Time, TrafficShare,
 };
 
@@ -211,6 +211,23 @@
     assert_eq!(cursor.next_step(), FeedStep::Read);
 }
 
+/// Guards against a source that is read in a loop without a pause, since each watch finds its history gone.
+#[test]
+fn a_source_that_keeps_no_history_is_read_again_after_growing_pauses() {
+    let mut cursor = FeedCursor::default();
+    cursor.advance(Revision(10));
+    assert_eq!(cursor.reset(), Span::ZERO, "the first read follows at once");
+    let mut pauses = Vec::new();
+    for round in 11..20 {
+        cursor.advance(Revision(round));
+        pauses.push(cursor.reset());
+    }
+    assert!(pauses[0] > Span::ZERO && pauses.is_sorted(), "{pauses:?}");
+    cursor.advance(Revision(20));
+    cursor.advance(Revision(21));
+    assert_eq!(cursor.reset(), Span::ZERO, "a watch has succeeded");
+}
+
 /// Guards against equal ranks for all calls of organisations with the same priority, whatever the priority of
 /// the route.
 #[test]
--- a/crates/barleyspool_gateway/src/control/feed_reader.rs
+++ b/crates/barleyspool_gateway/src/control/feed_reader.rs
@@ -41,7 +41,12 @@
                     tokio::time::sleep(TARGET_WATCH_DELAY).await;
                 }
             }
-            Err(SourceError::HistoryGone | SourceError::Restored) => cursor.reset(),
+            Err(SourceError::HistoryGone | SourceError::Restored) => {
+                let max_delay = cursor.reset();
+                if max_delay > Span::ZERO {
+                    state.wait_for_retry(feed, with_jitter(max_delay)).await;
+                }
+            }
             Err(SourceError::Overtaken) => cursor.resume(state.held_revision(feed)),
             Err(error) => {
                 state.record_feed_result(feed, Some(&error.to_string()));
