Send no request whose headers cannot carry their texts

The texts of three headers come from outside: the id of the target (the key of its entry), the organisation's name (the configuration) and the handles of stage results (answers of targets). A text with a line break left its header out, so that any target that has the address by then would run the call, or run it for no organisation; a handle with a comma became two inputs.

--- a/crates/barleyspool_gateway/src/adapters.rs
+++ b/crates/barleyspool_gateway/src/adapters.rs
@@ -92,8 +92,9 @@
 pub struct TargetAdapter {
     /// The headers that belong to a call. They are forwarded even if the caller's `Connection` header names them.
     pub caller_headers: &'static [HeaderName],
-    /// Changes the headers of a caller's request to those of the request to the target.
-    pub prepare_headers: fn(&mut HeaderMap, &SendHead),
+    /// Changes the headers of a caller's request to those of the request to the target; returns false if one of them cannot
+    /// carry its text, and then the request must not be sent.
+    pub prepare_headers: fn(&mut HeaderMap, &SendHead) -> bool,
     /// Parses the head of an answer.
     pub read_answer_head: fn(&response::Parts) -> AnswerHead,
 }
@@ -107,8 +108,8 @@
     pub read_run_answer: fn(&[u8]) -> Option<Vec<PieceOutcome>>,
     /// Builds the path and body of a request that releases results.
     pub release_request: fn(&[String]) -> (&'static str, Bytes),
-    /// Sets the headers of a request to the target with the given id.
-    pub prepare_headers: fn(&mut HeaderMap, &str),
+    /// Sets the headers of a request to the target with the given id; returns false if that id cannot be sent.
+    pub prepare_headers: fn(&mut HeaderMap, &str) -> bool,
 }
 
 /// A request for gateway addresses.
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -517,8 +517,7 @@
         .header("content-type", "application/json")
         .body(Full::new(body))
         .ok()?;
-    (traffic.adapters.pool.prepare_headers)(request.headers_mut(), target);
-    Some(request)
+    (traffic.adapters.pool.prepare_headers)(request.headers_mut(), target).then_some(request)
 }
 
 /// Releases results in batches.
--- a/crates/barleyspool_gateway/src/traffic/send_request.rs
+++ b/crates/barleyspool_gateway/src/traffic/send_request.rs
@@ -9,7 +9,8 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 
-/// The request to a target: the request of the caller, with the headers of this system.
+/// The request to a target: the request of the caller, with the headers of this system. `None` if one of their texts cannot be
+/// sent.
 pub fn request(
     call: &Call,
     chosen: &TargetChoice,
@@ -33,9 +34,9 @@
         resume_after,
         prefix_source: chosen.source.clone(),
     };
-    (call.traffic.adapters.target.prepare_headers)(&mut headers, &head);
+    let can_send = (call.traffic.adapters.target.prepare_headers)(&mut headers, &head);
     *request.headers_mut() = headers;
-    Some(request)
+    can_send.then_some(request)
 }
 
 /// Whether an answer has neither a length nor chunks, so that it ends with its connection.
