Ignore reports of a target that are older than the known one, also without born

Cause: is_older compared the numbers of reports only where both state when the target started. Targets of this deployment don't, as each start has a new id, so that the lower number is always older. Evidence: the `targets` line at the late write, with one leaving target fewer, from the source.

Ignored reports show as report_outdated lines.

--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -141,6 +141,6 @@
 pub use target_query::{ChooseResult, Shard, TargetChoice, TargetQuery, shard_key};
 pub use target_reach::{CheckResult, ReachChange, TargetReach};
 pub use target_record::{TargetKey, TargetRecord};
-pub use target_store::{EXPIRY_GRACE, ExpiringEntries, TargetChange, TargetStore};
+pub use target_store::{EXPIRY_GRACE, ExpiringEntries, OutdatedReport, TargetChange, TargetStore};
 pub use wait_limit::wait_limit;
 pub use wait_report::WaitReport;
--- a/crates/barleyspool_core/src/forward/target_entry.rs
+++ b/crates/barleyspool_core/src/forward/target_entry.rs
@@ -133,10 +133,13 @@
     }
 
     /// Whether this report is older than `known`: written by an earlier incarnation, or earlier by the
-    /// same one. Reports may arrive late and by way of other nodes.
+    /// same one. Reports may arrive late and by way of other nodes, and the source may apply a write seconds
+    /// after a later one. A target that does not report its incarnation has one only, since it gets a new id
+    /// when it restarts.
     pub fn is_older(&self, known: (TargetIncarnation, u64)) -> bool {
-        let numbered = self.incarnation != TargetIncarnation(0) && known.0 != TargetIncarnation(0);
-        numbered && (self.incarnation, self.sequence) < known
+        let unnumbered = TargetIncarnation(0);
+        let comparable = (self.incarnation == unnumbered) == (known.0 == unnumbered);
+        comparable && (self.incarnation, self.sequence) < known
     }
 }
 
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -17,6 +17,21 @@
     Gone(String),
 }
 
+/// A report that was ignored, since the target wrote the known one later.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OutdatedReport {
+    /// The id of the target.
+    pub id: String,
+    /// The incarnation that wrote it.
+    pub incarnation: IncarnationId,
+    /// The number of the report.
+    pub sequence: u64,
+    /// The number of the known report.
+    pub known: u64,
+    /// Whether the target is known to leave, which this report does not state.
+    pub undoes_leaving: bool,
+}
+
 /// How long an entry that expired while the source was unavailable is still kept: a live target rewrites
 /// it within about this time (docs/PLATFORM.md).
 pub const EXPIRY_GRACE: Span = Span::from_secs(2);
@@ -49,6 +64,8 @@
     history: TargetHistory,
     /// The most recent changes, for nodes that have an older list.
     log: TargetLog,
+    /// Reports that were ignored; see [`Self::take_outdated`].
+    outdated: Vec<OutdatedReport>,
 }
 
 /// Entries that are missing at the source and may reappear, with the time left for that. A node passes
@@ -178,6 +195,11 @@
         true
     }
 
+    /// Takes the reports that were ignored since the last call.
+    pub fn take_outdated(&mut self) -> Vec<OutdatedReport> {
+        std::mem::take(&mut self.outdated)
+    }
+
     /// The changes that turn the list at `revision` into this one; `None` if they are no longer known.
     pub fn changes_since(&self, revision: Revision) -> Option<Vec<TargetChange>> {
         self.log.since(revision)
@@ -281,8 +303,20 @@
             known.unreadable = true;
             return Some(known);
         }
-        if last.is_some_and(|last| report.is_older(last)) {
-            return known.cloned();
+        if let Some(last) = last
+            && report.is_older(last)
+        {
+            let outdated = OutdatedReport {
+                incarnation: report.incarnation_id(),
+                sequence: report.sequence,
+                known: last.1,
+                undoes_leaving: !report.leaving
+                    && known.is_some_and(|known| known.leaving && known.incarnation == report.incarnation),
+                id: report.id,
+            };
+            let known = known.cloned();
+            self.outdated.push(outdated);
+            return known;
         }
         report.leaving |= self.history.has_reported_leaving(&report);
         report.evacuated = self.evacuated.contains(&report.zone);
--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -65,6 +65,7 @@
         let is_first = !self.has_target_list.replace(true);
         self.log_era_change(revision, origin);
         let changed = self.targets.borrow_mut().replace(self.now(), revision, table);
+        self.report_outdated(origin);
         if changed || is_first {
             self.targets_changed(origin);
         }
@@ -75,12 +76,31 @@
     pub fn apply_targets(&self, revision: Revision, changes: Vec<TargetChange>, origin: Origin) -> bool {
         self.log_era_change(revision, origin);
         let changed = self.targets.borrow_mut().apply(self.now(), revision, changes);
+        self.report_outdated(origin);
         if changed {
             self.targets_changed(origin);
         }
         changed
     }
 
+    /// Logs the reports of the source that were ignored as outdated.
+    fn report_outdated(&self, origin: Origin) {
+        let outdated = self.targets.borrow_mut().take_outdated();
+        if origin != Origin::Source {
+            // A difference may begin with reports that this node already has.
+            return;
+        }
+        for report in outdated {
+            let event = LogEvent::ReportOutdated {
+                target: &report.id,
+                sequence: report.sequence,
+                known: report.known,
+                undoes_leaving: report.undoes_leaving,
+            };
+            self.log.write(self.now(), &event);
+        }
+    }
+
     /// Logs when the target list is about to advance to a later era: the source was restored from a backup.
     fn log_era_change(&self, revision: Revision, origin: Origin) {
         let previous = self.targets.borrow().at;
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -109,6 +109,18 @@
         /// How long this node knew that another node had newer data, in milliseconds.
         behind_ms: u64,
     },
+    /// The source listed a report of a target that is older than the known one, which stands.
+    ReportOutdated {
+        /// The id of the target.
+        target: &'a str,
+        /// The number of the report.
+        sequence: u64,
+        /// The number of the known report.
+        known: u64,
+        /// Whether the target is known to leave, which the older report does not state.
+        #[serde(rename = "leaves")]
+        undoes_leaving: bool,
+    },
     /// The source was restored from a backup, so its revision numbers decreased.
     #[serde(rename = "source_went_back")]
     SourceRestored {
