Notify other nodes of a leaving that an older report would undo

A node that starts after a late write, and reads the list from the source while the nodes that know better don't answer, took a leaving target for one that stays: 236 calls in 1.5 s. A node that ignores a report which undoes a leaving tells the others now, by the messages that carry leavings stated in answers; these are repeated for a minute to each node, also to one that starts later.

--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -5,8 +5,8 @@
 use crate::adapters::{Feed, SourceChange};
 use crate::event_log::LogEvent;
 use barleyspool_core::{
-    CatalogChange, CatalogDocument, CatalogStore, Evacuations, ExpiringEntries, IncarnationId, OfferResult,
-    Revision, TargetChange, TargetCounts, TargetEntry, TargetTable,
+    CatalogChange, CatalogDocument, CatalogStore, Evacuations, ExpiringEntries, IncarnationId, MemberEvent,
+    OfferResult, Revision, TargetChange, TargetCounts, TargetEntry, TargetTable,
 };
 use std::collections::BTreeSet;
 
@@ -83,7 +83,8 @@
         changed
     }
 
-    /// Logs the reports of the source that were ignored as outdated.
+    /// Logs the reports of the source that were ignored as outdated, and notifies other nodes of targets that leave although the
+    /// source lists them as staying: a node that starts now cannot know it.
     fn report_outdated(&self, origin: Origin) {
         let outdated = self.targets.borrow_mut().take_outdated();
         if origin != Origin::Source {
@@ -98,6 +99,10 @@
                 undoes_leaving: report.undoes_leaving,
             };
             self.log.write(self.now(), &event);
+            if report.undoes_leaving {
+                let incarnation = report.incarnation;
+                self.step_members(MemberEvent::TargetLeaves { incarnation });
+            }
         }
     }
 
