Apply differences of other nodes only to the data from which they start

A node asks another for what is newer than its own version. When another version arrived meanwhile (by its own watch, or from a second node that it had asked at the same time), the difference was applied to that one: a key or a route that only the version in between had stayed in force under the number of the newest version, and so did a target that was listed and removed again meanwhile, since the difference of a whole read does not mention it.

A difference counts only if the node still has what it asked with; what is newer is requested again by the next check.

--- a/crates/barleyspool_core/src/forward/catalog_store.rs
+++ b/crates/barleyspool_core/src/forward/catalog_store.rs
@@ -54,9 +54,11 @@
         self.log.since(version)
     }
 
-    /// Applies changes from the current version to a newer one.
-    pub fn apply(&mut self, changes: Vec<CatalogChange>) -> OfferResult {
-        let Some(catalog) = self.catalog.as_ref().filter(|_| !changes.is_empty()) else {
+    /// Applies changes from version `base` to a newer one. They are outdated if another version has arrived
+    /// meanwhile: applied to that, they would keep what it alone has, such as a key revoked since.
+    pub fn apply(&mut self, base: Revision, changes: Vec<CatalogChange>) -> OfferResult {
+        let current = self.catalog.as_ref().filter(|catalog| catalog.version() == base);
+        let Some(catalog) = current.filter(|_| !changes.is_empty()) else {
             return OfferResult::Outdated;
         };
         let mut document = catalog.document.clone();
--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -117,6 +117,12 @@
         self.changed(changed)
     }
 
+    /// Whether no change of the list has arrived after revision `base`. A difference that starts there states
+    /// nothing about targets that were listed later and removed again before its end.
+    pub fn is_unchanged_since(&self, base: Revision) -> bool {
+        self.changed_at <= base
+    }
+
     /// Applies changes up to revision `at`; returns whether the list changes.
     ///
     /// Changes up to a revision older than that of the list are already part of it. Applied again they
--- a/crates/barleyspool_core/tests/source_reading/changes.rs
+++ b/crates/barleyspool_core/tests/source_reading/changes.rs
@@ -87,11 +87,32 @@
         let Some(changes) = sender.changes_since(receiver.version()) else {
             return false;
         };
-        receiver.apply(changes);
+        receiver.apply(receiver.version(), changes);
         sorted(&receiver) == sorted(&sender)
     }
 }
 
+/// Guards against a revoked key, or a removed route, that stays in force: another version arrives while a difference that says
+/// nothing of it is under way.
+#[test]
+fn a_difference_from_another_version_than_the_current_one_is_not_applied() {
+    let mut sender = CatalogStore::default();
+    sender.offer(document(10, &[(1, 1)], &[(1, 1)]));
+    let mut receiver = CatalogStore::default();
+    receiver.offer(document(10, &[(1, 1)], &[(1, 1)]));
+    let base = receiver.version();
+    sender.offer(document(13, &[(1, 2)], &[(1, 1)]));
+    let changes = sender.changes_since(base).expect("version 10 is known");
+    receiver.offer(document(12, &[(1, 1), (2, 2)], &[(1, 1), (2, 2)]));
+    assert_eq!(receiver.apply(base, changes), OfferResult::Outdated);
+    assert_eq!(receiver.version(), Revision(12));
+    assert_eq!(
+        sender.changes_since(Revision(12)),
+        None,
+        "the whole document follows"
+    );
+}
+
 #[test]
 fn the_change_of_one_key_sends_one_organisation_and_an_unknown_version_has_no_changes() {
     let organisations: Vec<(u8, u8)> = (0..200).map(|name| (name, name)).collect();
@@ -190,6 +211,24 @@
     assert!(store.table["t1"].leaving);
 }
 
+/// Guards against a target that stays listed for good: it is listed and removed again while a difference that says nothing of it
+/// is under way.
+#[test]
+fn a_difference_does_not_start_from_a_list_that_has_changed_since() {
+    let mut sender = TargetStore::default();
+    sender.replace(Time(0), Revision(10), table(&[(1, false)]));
+    let mut receiver = sender.clone();
+    let base = receiver.at;
+    sender.replace(Time(0), Revision(30), table(&[(1, true)]));
+    let changes = sender.changes_since(base).expect("revision 10 is known");
+    assert_eq!(changes.len(), 1, "the target listed meanwhile is not mentioned");
+    assert!(receiver.is_unchanged_since(base));
+    receiver.apply(Time(0), Revision(15), Vec::new());
+    assert!(receiver.is_unchanged_since(base), "the source alone has moved on");
+    receiver.apply(Time(0), Revision(20), vec![TargetChange::Put(entry(2, false))]);
+    assert!(!receiver.is_unchanged_since(base));
+}
+
 /// A node that noticed an outage of the source keeps entries that expired during it for a grace period. A
 /// node that got its list from such a node has to drop them at the same time; otherwise it keeps them for
 /// ever, since no later change removes them.
--- a/crates/barleyspool_gateway/src/control/peer_sync.rs
+++ b/crates/barleyspool_gateway/src/control/peer_sync.rs
@@ -35,6 +35,8 @@
 struct EndedRequest {
     peer: SocketAddr,
     started: Time,
+    /// What this node had when it asked.
+    held: HeldRevisions,
     result: Result<RelayAnswer, RequestError>,
 }
 
@@ -70,10 +72,12 @@
             let state = Rc::clone(&state);
             pending.spawn_local(async move {
                 let started = state.now();
-                let result = request(&state, &peer).await;
+                let held = state.held_revisions();
+                let result = request(&state, &peer, held).await;
                 EndedRequest {
                     peer,
                     started,
+                    held,
                     result,
                 }
             });
@@ -92,13 +96,14 @@
     let EndedRequest {
         peer,
         started,
+        held,
         result,
     } = ended;
     state.shared.count_peer_request(result.is_ok());
     let end = match result {
         Ok(answer) => {
             let busy = matches!(answer.targets, FeedUpdate::Busy);
-            apply_answer(state, answer, &peer);
+            apply_answer(state, answer, held, &peer);
             if busy {
                 RequestEnd::Busy
             } else {
@@ -222,13 +227,19 @@
     }
 }
 
-async fn request(state: &ControlState, peer: &SocketAddr) -> Result<RelayAnswer, RequestError> {
-    let path = relay_path(state.held_revisions(), accepts_full_configuration(state));
+async fn request(
+    state: &ControlState,
+    peer: &SocketAddr,
+    held: HeldRevisions,
+) -> Result<RelayAnswer, RequestError> {
+    let path = relay_path(held, accepts_full_configuration(state));
     let answer = timer::timeout(REQUEST_TIMEOUT, fetch(peer, &path)).await;
     answer.unwrap_or(Err(RequestError::TimedOut))
 }
 
-fn apply_answer(state: &ControlState, answer: RelayAnswer, peer: &SocketAddr) {
+/// Applies the answer to a request that stated `held`. Its differences start from there, and are ignored if newer data has arrived
+/// from elsewhere meanwhile; a later check requests the rest.
+fn apply_answer(state: &ControlState, answer: RelayAnswer, held: HeldRevisions, peer: &SocketAddr) {
     let address = peer.to_string();
     let origin = Origin::Node(&address);
     // Applied before the configuration and the targets, which could otherwise cause calls to be sent to
@@ -236,7 +247,7 @@
     state.merge_evacuations(answer.evacuations, origin);
     let accepted = match answer.configuration {
         FeedUpdate::Unchanged => false,
-        FeedUpdate::Changes(changes) => state.offer_configuration_changes(changes, origin),
+        FeedUpdate::Changes(changes) => state.offer_configuration_changes(held.version, changes, origin),
         FeedUpdate::Full(document) => state.offer_configuration(document, origin),
         FeedUpdate::HistoryGone | FeedUpdate::Busy => {
             state.source_access.request_full_read(Feed::Configuration);
@@ -251,7 +262,7 @@
     state.note_expiring(revision, answer.expiring);
     let changed = match answer.targets {
         FeedUpdate::Unchanged => false,
-        FeedUpdate::Changes(changes) => state.apply_targets(revision, changes, origin),
+        FeedUpdate::Changes(changes) => state.apply_target_difference(held.list, revision, changes, origin),
         FeedUpdate::Full(list) => apply_full_list(state, revision, &list, peer),
         // A later check repeats the request, to this node or to another one.
         FeedUpdate::HistoryGone | FeedUpdate::Busy => false,
--- a/crates/barleyspool_gateway/src/control/source_changes.rs
+++ b/crates/barleyspool_gateway/src/control/source_changes.rs
@@ -17,11 +17,16 @@
         self.apply_configuration(version, origin, |catalogs| catalogs.offer(document))
     }
 
-    /// Applies configuration changes from another node if they are valid and newer than the current
-    /// configuration. Returns whether they were applied.
-    pub fn offer_configuration_changes(&self, changes: Vec<CatalogChange>, origin: Origin) -> bool {
+    /// Applies configuration changes from another node if they start from the current version, and are valid. Returns whether
+    /// they were applied.
+    pub fn offer_configuration_changes(
+        &self,
+        base: Revision,
+        changes: Vec<CatalogChange>,
+        origin: Origin,
+    ) -> bool {
         let version = changes.last().map(CatalogChange::version).unwrap_or_default();
-        self.apply_configuration(version, origin, |catalogs| catalogs.apply(changes))
+        self.apply_configuration(version, origin, |catalogs| catalogs.apply(base, changes))
     }
 
     fn apply_configuration(
@@ -83,6 +88,18 @@
         changed
     }
 
+    /// Applies changes of the target list from another node if they start from the current list. Returns whether the list
+    /// changed.
+    pub fn apply_target_difference(
+        &self,
+        base: Revision,
+        revision: Revision,
+        changes: Vec<TargetChange>,
+        origin: Origin,
+    ) -> bool {
+        self.targets.borrow().is_unchanged_since(base) && self.apply_targets(revision, changes, origin)
+    }
+
     /// Logs the reports of the source that were ignored as outdated, and notifies other nodes of targets that leave although the
     /// source lists them as staying: a node that starts now cannot know it.
     fn report_outdated(&self, origin: Origin) {
