Encode the list for nodes that start anew after each change

The packed list was kept by the revision of the source. Entries expire, and targets are known to leave, without a new revision: a node that started later got the entries that the others had dropped, and kept them for good, so that calls would go to targets that are gone.

--- a/crates/barleyspool_core/src/forward/target_store.rs
+++ b/crates/barleyspool_core/src/forward/target_store.rs
@@ -53,6 +53,9 @@
     /// The revision of the last change of the list. This one is sent to other nodes: changes elsewhere
     /// on the platform raise `at`, and would make them request a list that they already have.
     pub changed_at: Revision,
+    /// The number of changes that decisions can see. Entries also expire, and targets leave, without a new
+    /// revision.
+    pub generation: u64,
     /// Entries that were missing when the source returned, and when they count as removed. They may have
     /// expired at the source only because it was unavailable, so they are kept until then.
     pub expired: BTreeMap<String, Time>,
@@ -365,8 +368,9 @@
         changed
     }
 
-    /// Rebuilds the indexes that are derived from the list.
+    /// Rebuilds the indexes that are derived from the list, after each change of it.
     fn rebuild_indexes(&mut self) {
+        self.generation += 1;
         self.zones = Arc::new(ForwardPlan::zones_by_address(&self.table));
         self.restarts = Arc::new(ForwardPlan::restarts_by_address(&self.table));
         self.services = Arc::new(service_targets(&self.table));
--- a/crates/barleyspool_gateway/src/control/relay.rs
+++ b/crates/barleyspool_gateway/src/control/relay.rs
@@ -151,13 +151,14 @@
     list.map_or(FeedUpdate::Busy, FeedUpdate::Full)
 }
 
-/// The full target list in packed form, encoded once per revision and cached for all receivers; `None` when
-/// it cannot be encoded.
+/// The full target list in packed form, encoded once per revision and change, and cached for all receivers;
+/// `None` when it cannot be encoded.
 fn encode_packed_list(state: &ControlState) -> Option<ByteBuf> {
     let targets = state.targets.borrow();
     let mut cached = state.packed_list.borrow_mut();
-    if let Some((revision, bytes)) = &*cached
-        && *revision == targets.at
+    let state_key = (targets.at, targets.generation);
+    if let Some((key, bytes)) = &*cached
+        && *key == state_key
     {
         return Some(bytes.clone());
     }
@@ -165,7 +166,7 @@
     match rmp_serde::to_vec(&list) {
         Ok(bytes) => {
             let bytes = ByteBuf::from(bytes);
-            *cached = Some((targets.at, bytes.clone()));
+            *cached = Some((state_key, bytes.clone()));
             Some(bytes)
         }
         Err(cause) => {
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -68,8 +68,8 @@
     members_changed: Notify,
     /// When and how this node reads the source.
     pub source_access: SourceAccess,
-    /// The target list, encoded for transfers to other nodes, with its revision.
-    pub packed_list: RefCell<Option<(Revision, ByteBuf)>>,
+    /// The target list, encoded for transfers to other nodes, with its revision and generation.
+    pub packed_list: RefCell<Option<((Revision, u64), ByteBuf)>>,
     /// Requests for streams that wait for answers of other nodes.
     pub stream_waiters: StreamWaiters,
     /// Active transfers of full lists to other nodes.
