Count a call that is sent again for lost inputs as a repeat

It takes the way of every repeat now, with the reason inputs_gone, and is refused as not run, with a time to retry, if it may not be sent again. A new log line, inputs_gone, tells inputs that this node had released from those that were lost.

Tests, red before: calls_whose_inputs_are_lost_are_sent_again_within_the_retry_ budget (40 arrivals beyond the first, 4 allowed), a_call_whose_inputs_are_lost_ is_sent_no_more_often_than_its_route_allows (10, none allowed).

--- a/crates/barleyspool_core/src/forward/send_end.rs
+++ b/crates/barleyspool_core/src/forward/send_end.rs
@@ -41,6 +41,9 @@
     pub const fn retry_reason(self) -> RetryReason {
         match self {
             Self::Answered { .. } | Self::BrokenOff => RetryReason::Interrupted,
+            Self::Refused {
+                inputs_gone: true, ..
+            } => RetryReason::InputsGone,
             Self::Refused { .. } => RetryReason::Refused,
             Self::Unreachable => RetryReason::Unreachable,
             Self::TimedOut => RetryReason::TimedOut,
--- a/crates/barleyspool_core/src/outcome.rs
+++ b/crates/barleyspool_core/src/outcome.rs
@@ -152,6 +152,8 @@
     Resumed,
     /// The attempt timed out and the step is repeatable.
     TimedOut,
+    /// The target did not run the step, since results that it reads are gone.
+    InputsGone,
 }
 
 impl RetryReason {
@@ -162,6 +164,7 @@
         Self::Interrupted,
         Self::Resumed,
         Self::TimedOut,
+        Self::InputsGone,
     ];
 
     /// The stable name shown to operators.
@@ -172,6 +175,7 @@
             Self::Interrupted => "broken_off",
             Self::Resumed => "resumed",
             Self::TimedOut => "timed_out",
+            Self::InputsGone => "inputs_gone",
         }
     }
 }
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -385,6 +385,19 @@
         /// The bytes of its body that had been received; for a stream, those of an incomplete event.
         bytes: usize,
     },
+    /// A target did not run a call, since stage results that it reads are gone.
+    InputsGone {
+        /// The call's id.
+        id: &'a str,
+        /// The service.
+        service: &'a str,
+        /// The target's id.
+        target: &'a str,
+        /// Whether this node had released them after the send.
+        released: bool,
+        /// How long after the send the refusal came, in milliseconds.
+        after_ms: u64,
+    },
     /// The stream of a call broke off at its target before its end.
     StreamBrokenOff {
         /// The call's id.
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -66,10 +66,10 @@
         target_crashes::check_blocked(call)?;
         let mut send = SendGuard::choose(call).await?;
         log_sent(call, &send.chosen, &inputs, retry);
-        let sent = {
+        let delay = call.fetch_time().filter(|_| !inputs.is_empty());
+        let (sent, released) = {
             let sent = send_once(call, &mut send, &inputs, call.head.resume_after);
-            let wait = call.fetch_time().filter(|_| !inputs.is_empty());
-            await_and_release(sent, &mut results, wait).await
+            await_and_release(sent, &mut results, delay).await
         };
         call.sending.set(false);
         let end = match sent {
@@ -99,13 +99,18 @@
         };
         send.end(end);
         after_failed_send(call, &send, end).await;
+        record_end(call, end);
         if let SendEnd::Refused {
             inputs_gone: true, ..
         } = end
         {
-            return Ok(Outcome::InputsGone(results));
+            record_inputs_gone(call, &send, released);
+            return match step_after(call, end) {
+                NextStep::Retry if allow_retry(call, end) => Ok(Outcome::InputsGone(results)),
+                _ if call.history.get().may_have_run => Err(unknown_failure(call, &send.chosen)),
+                _ => Err(refused(call, &send.chosen, end)),
+            };
         }
-        record_end(call, end);
         call.failed_targets.borrow_mut().push(send.chosen.target);
         match step_after(call, end) {
             NextStep::Retry if allow_retry(call, end) => retry = end.retry_reason().name(),
@@ -118,21 +123,34 @@
     }
 }
 
-/// Waits for an answer. When `wait`, the time that the target needs to fetch the inputs of the call, is over
-/// before that, the inputs are released.
+/// Waits for an answer. When `delay` is over before that, the inputs of the call are released. Returns also whether they were.
 async fn await_and_release<T>(
     sent: impl Future<Output = T>,
     results: &mut StageResults,
-    wait: Option<Span>,
-) -> T {
+    delay: Option<Span>,
+) -> (T, bool) {
     let mut sent = std::pin::pin!(sent);
-    if let Some(wait) = wait {
-        match timer::timeout(duration(wait), sent.as_mut()).await {
-            Ok(sent) => return sent,
+    if let Some(delay) = delay {
+        match timer::timeout(duration(delay), sent.as_mut()).await {
+            Ok(sent) => return (sent, false),
             Err(_) => results.release_all(),
         }
     }
-    sent.await
+    (sent.await, delay.is_some())
+}
+
+/// Logs that a target found the inputs of a call gone.
+fn record_inputs_gone(call: &Call, send: &SendGuard, released: bool) {
+    let traffic = &call.traffic;
+    let now = traffic.now();
+    let line = LogEvent::InputsGone {
+        id: &call.head.id,
+        service: &call.service,
+        target: &send.chosen.id,
+        released,
+        after_ms: now.since(send.began_at).as_millis(),
+    };
+    traffic.log.write(now, &line);
 }
 
 /// Starts to relay the stream of a send, and returns the response that carries it. `used` are the stage results that the call
