Keep the inputs of calls that may wait at their target until the first output

Cause: that a target has had time to fetch inputs was taken for having fetched them. Evidence: inputs_gone lines with released, some hundred milliseconds after the send, and none in calm.

Inputs are released by time only where the node that places the calls at the target knows of fewer than its slots; else they stay until the first output.

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -3,8 +3,8 @@
 use super::sends::Send;
 use super::version_history::VersionHistory;
 use super::{
-    BrittleTable, Catalog, ForwardPlan, MemberView, RetryWindow, ServiceTargets, SlotLimit, TargetChoice,
-    TargetEntry, TargetKey, TargetQuery, TargetRecord, TargetTable,
+    BrittleTable, Catalog, ForwardPlan, InputReleases, MemberView, RetryWindow, ServiceTargets, SlotLimit,
+    TargetChoice, TargetEntry, TargetKey, TargetQuery, TargetRecord, TargetTable,
 };
 use crate::chart::{Chart, ChartError};
 use crate::{
@@ -92,6 +92,7 @@
     pub(super) slots: HashMap<TargetKey, SlotLimit>,
     pub(super) catalog: Option<Arc<Catalog>>,
     pub(super) versions: VersionHistory,
+    input_releases: InputReleases,
     pub(super) random: SmallRng,
     pub(super) chart: Chart<TargetPhase, TargetEvent>,
 }
@@ -128,6 +129,7 @@
             slots: HashMap::new(),
             catalog: None,
             versions: VersionHistory::default(),
+            input_releases: InputReleases::default(),
         })
     }
 
@@ -224,9 +226,39 @@
             rate_limited: false,
             brittle: false,
             wait: Span::ZERO,
+            may_queue: self.may_queue(record),
         })
     }
 
+    /// Whether a further call of this node may have to wait at a target, if all nodes send it as many as this one.
+    pub(super) fn may_queue(&self, record: &TargetRecord) -> bool {
+        let in_flight = u64::from(record.in_flight) * self.members.len().max(1) as u64;
+        in_flight >= u64::from(record.entry.slots)
+    }
+
+    /// Whether a further call may have to wait at a target whose calls this node places for all nodes.
+    pub fn is_occupied(&self, target: TargetKey) -> bool {
+        let record = self.targets.get(target);
+        record.is_none_or(|record| record.in_flight >= record.entry.slots)
+    }
+
+    /// How long after a send to the chosen target the inputs of the call are released; see [`InputReleases::delay`].
+    pub fn input_release_delay(
+        &self,
+        now: Time,
+        service: &str,
+        chosen: &TargetChoice,
+        fetch_time: Option<Span>,
+    ) -> Option<Span> {
+        self.input_releases
+            .delay(now, service, chosen.may_queue, fetch_time)
+    }
+
+    /// Records that a target of the service has found inputs gone that this node had released.
+    pub fn record_input_loss(&mut self, now: Time, service: &str) {
+        self.input_releases.record_loss(now, service);
+    }
+
     /// Whether a target may be asked for its health. That takes one of its places like a call, and so counts towards its
     /// rate, the refusals that it bears if it is brittle, and its cooldown.
     pub fn allows_health_check(&self, now: Time, id: &str) -> bool {
--- a/crates/barleyspool_core/src/forward/target_choice.rs
+++ b/crates/barleyspool_core/src/forward/target_choice.rs
@@ -263,6 +263,7 @@
             rate_limited,
             brittle: is_brittle && !is_engine,
             wait,
+            may_queue: self.may_queue(record),
         })
     }
 
--- a/crates/barleyspool_core/src/forward/target_query.rs
+++ b/crates/barleyspool_core/src/forward/target_query.rs
@@ -99,6 +99,8 @@
     pub brittle: bool,
     /// How long the call has to wait before it is sent.
     pub wait: Span,
+    /// Whether the call may have to wait at the target for a slot.
+    pub may_queue: bool,
 }
 
 /// The key that determines the owner of a shard of a service.
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -381,8 +381,7 @@
         last.map(|stage| self.result_bytes(stage)).sum()
     }
 
-    /// How long its inputs are kept after it was sent; `None` when only its first output shows that the target
-    /// has fetched them.
+    /// How long a target that runs it at once needs to fetch its inputs; `None` if that is unknown.
     pub fn fetch_time(&self) -> Option<Span> {
         let bytes = self.input_bytes();
         let pools = self.route.stages.iter().map(|spec| {
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -66,7 +66,7 @@
         target_crashes::check_blocked(call)?;
         let mut send = SendGuard::choose(call).await?;
         log_sent(call, &send.chosen, &inputs, retry);
-        let delay = call.fetch_time().filter(|_| !inputs.is_empty());
+        let delay = release_delay(call, &send).filter(|_| !inputs.is_empty());
         let (sent, released) = {
             let sent = send_once(call, &mut send, &inputs, call.head.resume_after);
             await_and_release(sent, &mut results, delay).await
@@ -123,6 +123,17 @@
     }
 }
 
+/// How long after this send the inputs of the call are released; `None` if they are kept until the first output.
+fn release_delay(call: &Call, send: &SendGuard) -> Option<Span> {
+    if send.by_peer {
+        // The peer has yet to choose a target.
+        return None;
+    }
+    let traffic = &call.traffic;
+    let forwarder = traffic.forwarder.borrow();
+    forwarder.input_release_delay(traffic.now(), &call.service, &send.chosen, call.fetch_time())
+}
+
 /// Waits for an answer. When `delay` is over before that, the inputs of the call are released. Returns also whether they were.
 async fn await_and_release<T>(
     sent: impl Future<Output = T>,
@@ -139,10 +150,16 @@
     (sent.await, delay.is_some())
 }
 
-/// Logs that a target found the inputs of a call gone.
+/// Logs that a target found the inputs of a call gone. If this node had released them, those of later calls are kept longer.
 fn record_inputs_gone(call: &Call, send: &SendGuard, released: bool) {
     let traffic = &call.traffic;
     let now = traffic.now();
+    if released {
+        traffic
+            .forwarder
+            .borrow_mut()
+            .record_input_loss(now, &call.service);
+    }
     let line = LogEvent::InputsGone {
         id: &call.head.id,
         service: &call.service,
--- a/crates/barleyspool_gateway/src/traffic/placement.rs
+++ b/crates/barleyspool_gateway/src/traffic/placement.rs
@@ -264,6 +264,7 @@
     chosen.source = placed.prefix_source;
     chosen.wait = placed.wait;
     chosen.rate_limited = placed.rate_limited;
+    chosen.may_queue = placed.may_queue;
     PlaceResult::Placed(chosen, placement)
 }
 
@@ -342,6 +343,7 @@
         ChooseResult::CoolingDown(_) | ChooseResult::Busy(_) => return PlaceAnswer::NoneUsable,
     };
     let is_brittle = forwarder.brittle_refusals(now, &request.service).is_some();
+    let may_queue = forwarder.is_occupied(chosen.target);
     let placed = Placed {
         send: Some(forwarder.begin(now, &query, chosen.target)),
         reservation: is_brittle
@@ -355,6 +357,7 @@
         prefix_source: chosen.source,
         wait: chosen.wait,
         rate_limited: chosen.rate_limited,
+        may_queue,
     })
 }
 
--- a/crates/barleyspool_gateway/src/traffic/send_guard.rs
+++ b/crates/barleyspool_gateway/src/traffic/send_guard.rs
@@ -53,6 +53,7 @@
             rate_limited: false,
             brittle: false,
             wait: Span::ZERO,
+            may_queue: true,
         };
         Self {
             call: Rc::clone(call),
--- a/crates/barleyspool_wire/src/pieces.rs
+++ b/crates/barleyspool_wire/src/pieces.rs
@@ -129,6 +129,8 @@
     pub rate_limited: bool,
     /// How long the call must wait before it is sent.
     pub wait: Span,
+    /// Whether the call may have to wait at the engine for a slot.
+    pub may_queue: bool,
 }
 
 /// The answer to a [`PlaceRequest`].
