Relay streams by whole events, also where they may not go on elsewhere

Cause, as reproduced: the bytes of such streams were passed on without regard to events. A target that stops after `id: 1` of event 12 brought its caller piece 1 after piece 11; events that a target sends again, and a second answer behind a stream without framing, reached the caller as pieces that come twice.

All streams are relayed by whole events now. An event whose number does not rise, in a stream that may not go on, and the start of another answer, in any, spoil the stream from there on. Events are found however their lines end; streams of lines with CR LF were held back as a whole where they may go on.

Tests, red before: the four of partial_events. relay_progress checks random streams cut at any byte.

--- a/crates/barleyspool_core/src/forward/answer_memory.rs
+++ b/crates/barleyspool_core/src/forward/answer_memory.rs
@@ -23,6 +23,8 @@
     MemoryFull,
     /// Too many bytes came that are no part of an answer.
     NoResult,
+    /// A stream brought events again, or another answer after its events.
+    Spoiled,
 }
 
 impl AnswerDrop {
@@ -32,6 +34,7 @@
             Self::TooLarge => "too_large",
             Self::MemoryFull => "memory_full",
             Self::NoResult => "no_result",
+            Self::Spoiled => "spoiled",
         }
     }
 }
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod connection_watch;
 mod connections;
+mod event_scanner;
 mod final_send;
 mod grants;
 mod held_answer;
@@ -37,6 +38,7 @@
 mod target_crashes;
 mod target_reports;
 
+pub use relay_progress::RelayProgress;
 pub use relayed_stream::{RelayItem, RelayedStream};
 
 use crate::adapters::Adapters;
--- a/crates/barleyspool_gateway/src/traffic/relay_progress.rs
+++ b/crates/barleyspool_gateway/src/traffic/relay_progress.rs
@@ -1,24 +1,22 @@
 //! How far a stream of events has been relayed, and what of it is relayed next.
 
+use super::event_scanner::{EventScanner, begins_answer, event_number};
 use bytes::{Bytes, BytesMut};
 
-/// The separator at the end of an event.
-const EVENT_END: &[u8] = b"\n\n";
-/// The name of the field with an event's number.
-const EVENT_ID_FIELD: &[u8] = b"id:";
-
-/// How far a stream has been relayed.
+/// How far a stream has been relayed. Only whole events are: part of the number of an event looks like another number, so that
+/// the event would seem to be one that came before.
 #[derive(Debug, Default)]
 pub struct RelayProgress {
     /// The number of the last relayed event.
     pub event: Option<u64>,
-    /// Bytes of an incomplete event, where only complete events are relayed.
+    /// Bytes of an incomplete event.
     part: BytesMut,
-    /// How many of them have been searched for the end of the event.
-    searched: usize,
-    /// The last two bytes, which show whether the stream ends between two events. Where only complete events are
-    /// relayed, `xx` stands for the end of an incomplete event, whatever its last two bytes are.
-    tail: [u8; 2],
+    /// Finds the end of that event. It has read all bytes of `part`.
+    scanner: EventScanner,
+    /// Whether the stream has brought events, and ends with a whole one.
+    between_events: bool,
+    /// Whether the target has sent what belongs to no stream that goes on from the events before.
+    spoiled: bool,
 }
 
 impl RelayProgress {
@@ -35,71 +33,84 @@
         self.part.len()
     }
 
-    /// Drops the incomplete event of a target that broke it off.
+    /// Drops the incomplete event of a target that broke it off, and what else is known of that target's stream.
     pub fn drop_incomplete(&mut self) {
         self.part.clear();
-        self.searched = 0;
+        self.scanner = EventScanner::default();
+        self.spoiled = false;
     }
 
-    /// The bytes to relay to the caller now: all of `data`, or only the complete events not relayed before.
-    pub fn next_output(&mut self, data: Bytes, whole_events: bool) -> Option<Bytes> {
-        if data.is_empty() {
+    /// The bytes to relay to the caller now: the events that `data` completes, without those that were relayed before.
+    ///
+    /// A target that resumes a stream may begin earlier than asked. Where that is not allowed, an event that comes again shows
+    /// that the stream is spoiled, as other bytes after its end do; nothing is relayed from there on.
+    pub fn next_output(&mut self, data: Bytes, resumable: bool) -> Option<Bytes> {
+        if data.is_empty() || self.spoiled {
             return None;
         }
-        if !whole_events {
-            self.note_tail(&data);
-            return Some(data);
-        }
-        self.part.extend_from_slice(&data);
-        let mut out = BytesMut::new();
-        while let Some(end) = self.event_end() {
-            let event = self.part.split_to(end);
+        let mut read = self.part.len();
+        let mut rest = if self.part.is_empty() {
+            data
+        } else {
+            self.part.extend_from_slice(&data);
+            std::mem::take(&mut self.part).freeze()
+        };
+        let mut output = Output::default();
+        while let Some(end) = self.scanner.event_end(&rest, read) {
+            read = 0;
+            let event = rest.split_to(end);
             let number = event_number(&event);
-            let is_duplicate = number.is_some_and(|number| self.event.is_some_and(|last| number <= last));
-            if !is_duplicate {
-                self.event = number.or(self.event);
-                out.extend_from_slice(&event);
+            let is_repeated = number.is_some_and(|number| self.event.is_some_and(|last| number <= last));
+            self.spoiled = begins_answer(&event) || (is_repeated && !resumable);
+            if self.spoiled {
+                return output.into_bytes();
             }
-        }
-        self.tail = if self.part.is_empty() { *b"\n\n" } else { *b"xx" };
-        (!out.is_empty()).then(|| out.freeze())
-    }
-
-    /// The length of the first event in the buffer; `None` if it is incomplete. No byte is searched twice.
-    fn event_end(&mut self) -> Option<usize> {
-        let from = self.searched;
-        match find_bytes(&self.part[from..], EVENT_END) {
-            Some(at) => {
-                self.searched = 0;
-                Some(from + at + EVENT_END.len())
-            }
-            None => {
-                self.searched = self.part.len().saturating_sub(EVENT_END.len() - 1);
-                None
+            if !is_repeated {
+                self.event = number.or(self.event);
+                output.push(event);
             }
         }
-    }
-
-    fn note_tail(&mut self, data: &[u8]) {
-        let joined = [&self.tail[..], data].concat();
-        let end = joined.len();
-        self.tail = [joined[end - 2], joined[end - 1]];
+        self.between_events = rest.is_empty();
+        self.part = BytesMut::from(rest);
+        output.into_bytes()
     }
 
     /// Whether the received bytes end with a complete event.
     pub fn is_between_events(&self) -> bool {
-        self.tail == *EVENT_END
+        self.between_events
+    }
+
+    /// Whether the target has sent events again, or another answer, after the events that were relayed.
+    pub fn is_spoiled(&self) -> bool {
+        self.spoiled
     }
 }
 
-fn find_bytes(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|window| window == wanted)
+/// Events that are relayed together. A single one, which is the usual case, is not copied.
+#[derive(Default)]
+struct Output {
+    first: Bytes,
+    joined: BytesMut,
 }
 
-/// The number of an event; `None` when it has none.
-fn event_number(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(EVENT_ID_FIELD))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+impl Output {
+    fn push(&mut self, event: Bytes) {
+        if self.first.is_empty() {
+            self.first = event;
+            return;
+        }
+        if self.joined.is_empty() {
+            self.joined.extend_from_slice(&self.first);
+        }
+        self.joined.extend_from_slice(&event);
+    }
+
+    fn into_bytes(self) -> Option<Bytes> {
+        let bytes = if self.joined.is_empty() {
+            self.first
+        } else {
+            self.joined.freeze()
+        };
+        (!bytes.is_empty()).then_some(bytes)
+    }
 }
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -193,7 +193,12 @@
         if relayed.incomplete_bytes() > MAX_EVENT_BYTES {
             return drop_stream(relay, AnswerDrop::TooLarge, relayed);
         }
-        let Some(data) = output else { continue };
+        let Some(data) = output else {
+            if relayed.is_spoiled() {
+                return drop_stream(relay, AnswerDrop::Spoiled, relayed);
+            }
+            continue;
+        };
         if resumable {
             relay
                 .call
@@ -209,6 +214,9 @@
         if sent.is_err() {
             return StreamEnd::CallerLeft;
         }
+        if relayed.is_spoiled() {
+            return drop_stream(relay, AnswerDrop::Spoiled, relayed);
+        }
     }
 }
 
