Ask the target who it is after an answer that ends with its connection

Cause: such an answer was taken for whole if a process listened at the target's port. The result was shared for 200 ms from the start of the check, so that one from before the crash vouched for an answer that the crash cut off; another process at the address vouched for it too; and a refused port counted only where the node reached another target.

After the end of each such answer the target's health is asked on a new connection, and names it. Another target, nobody or no connection: the answer is told as cut. A process that doesn't name itself is taken for the target.

--- a/crates/barleyspool_core/src/forward/forwarder.rs
+++ b/crates/barleyspool_core/src/forward/forwarder.rs
@@ -270,6 +270,17 @@
         })
     }
 
+    /// Whether a target may be asked who it is, after an answer that ended with its connection. One that is leaving or not
+    /// listed may, since that is no work; one in an evacuated zone gets no requests at all.
+    pub fn allows_identity_check(&self, now: Time, id: &str) -> bool {
+        let record = self.by_id.get(id).and_then(|key| self.targets.get(*key));
+        record.is_none_or(|record| {
+            !record.entry.evacuated
+                && record.cooldown(now) == Span::ZERO
+                && !self.needs_grants(now, &record.entry.service)
+        })
+    }
+
     /// The only software version that the targets of a service have had for as long as any stream may be taken up; `None`
     /// if there were several, or if this node has not had a list for so long.
     pub fn only_version(&self, now: Time, service: &str) -> Option<VersionId> {
--- a/crates/barleyspool_gateway/src/adapters.rs
+++ b/crates/barleyspool_gateway/src/adapters.rs
@@ -97,6 +97,8 @@
     pub prepare_headers: fn(&mut HeaderMap, &SendHead) -> bool,
     /// Parses the head of an answer.
     pub read_answer_head: fn(&response::Parts) -> AnswerHead,
+    /// The id of the target that a health answer names, whether it is well or not.
+    pub read_instance: fn(&HeaderMap) -> Option<&str>,
 }
 
 /// The protocol of stage pools.
--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -109,6 +109,21 @@
     NotAccepted,
 }
 
+/// Who runs at the address of a target.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Occupant {
+    /// The target itself.
+    Target,
+    /// Another one, which has the address now.
+    Other,
+    /// A process that did not say who it is.
+    Unknown,
+    /// Nobody: the process of the target has ended.
+    Nobody,
+    /// No reply, which may be due to the network.
+    Unreached,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -189,19 +204,51 @@
     /// Opens a connection to a target and requests its health there. Any answer will do, also that the target is unwell. The
     /// connection is kept for the next call.
     pub async fn probe(&self, address: &str, target: &str, health_path: &str) -> ProbeResult {
-        let Ok(mut connection) = connect(address, target).await else {
+        let Ok(connection) = connect(address, target).await else {
             return ProbeResult::NotAccepted;
         };
-        match timer::timeout(PROBE_TIMEOUT, exchange(&mut connection, health_path)).await {
-            Ok(true) => {
-                connection.used = true;
-                self.add_idle(connection, None);
-                ProbeResult::Answered
-            }
-            Ok(false) | Err(_) => ProbeResult::Unanswered,
+        match self.health(connection, health_path).await {
+            Some(_) => ProbeResult::Answered,
+            None => ProbeResult::Unanswered,
         }
     }
 
+    /// Asks who runs at the address of a target, on a new connection. `instance` reads the id from a health answer. Without a
+    /// `health_path` only the connection is opened.
+    pub async fn occupant(
+        &self,
+        address: &str,
+        target: &str,
+        health_path: Option<&str>,
+        instance: fn(&HeaderMap) -> Option<&str>,
+    ) -> Occupant {
+        let mut connection = match connect(address, target).await {
+            Ok(connection) => connection,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Occupant::Nobody,
+            Err(_) => return Occupant::Unreached,
+        };
+        let Some(health_path) = health_path else {
+            connection.used = true;
+            self.add_idle(connection, None);
+            return Occupant::Unknown;
+        };
+        let headers = self.health(connection, health_path).await;
+        match headers.as_ref().and_then(instance) {
+            Some(id) if id == target => Occupant::Target,
+            Some(_) => Occupant::Other,
+            None => Occupant::Unknown,
+        }
+    }
+
+    /// Requests the health of a target on a new connection, which is kept for the next call. Returns the headers of its answer.
+    async fn health(&self, mut connection: Connection, health_path: &str) -> Option<HeaderMap> {
+        let asked = timer::timeout(PROBE_TIMEOUT, exchange(&mut connection, health_path)).await;
+        let headers = asked.ok().flatten()?;
+        connection.used = true;
+        self.add_idle(connection, None);
+        Some(headers)
+    }
+
     /// Takes an idle connection to a target, but none on which `call` was refused or failed last, and none on which the body
     /// of an earlier call is still being written: a target may answer before it has read the whole body.
     fn take(&self, address: &str, target: &str, call: Option<&str>) -> Option<Connection> {
@@ -283,21 +330,19 @@
     })
 }
 
-/// Requests the health of a target, and returns whether a whole answer came.
-async fn exchange(connection: &mut Connection, health_path: &str) -> bool {
+/// Requests the health of a target, and returns the headers of its answer once that is complete.
+async fn exchange(connection: &mut Connection, health_path: &str) -> Option<HeaderMap> {
     let request = Request::get(health_path)
         .header(HOST, &connection.address)
         .body(Full::default());
-    let Ok(request) = request else { return false };
-    if connection.sender.ready().await.is_err() {
-        return false;
-    }
-    let Ok(answer) = connection.sender.send_request(request).await else {
-        return false;
-    };
+    let request = request.ok()?;
+    connection.sender.ready().await.ok()?;
+    let answer = connection.sender.send_request(request).await.ok()?;
     if !is_final(answer.status()) {
-        return false;
+        return None;
     }
-    let body = LimitedBody::new(answer.into_body(), &connection.progress);
-    answer_reader::discard(body, MAX_HEALTH_BYTES).await
+    let (parts, body) = answer.into_parts();
+    let body = LimitedBody::new(body, &connection.progress);
+    let complete = answer_reader::discard(body, MAX_HEALTH_BYTES).await;
+    complete.then_some(parts.headers)
 }
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -13,7 +13,7 @@
 use super::send_request::{answer_parts, ends_with_connection, request};
 use super::stage_results::StageResults;
 use super::stream_relay::{self, Relay};
-use super::target_crashes::{self, ended_with_process};
+use super::target_crashes::{self, may_have_ended_with_process};
 use super::target_reports::{self, SentRequest};
 use crate::adapters::AnswerHead;
 use crate::event_log::LogEvent;
@@ -340,7 +340,10 @@
     let head = target_reports::read_head(traffic, sent_request, &parts);
     let is_unframed = ends_with_connection(&parts);
     let answer = read_answer(call, &chosen.id, connection, (parts, body), head).await?;
-    if is_unframed && matches!(answer, TargetAnswer::Buffered(..)) && ended_with_process(call, send).await {
+    if is_unframed
+        && matches!(answer, TargetAnswer::Buffered(..))
+        && may_have_ended_with_process(call, send).await
+    {
         return Err(SendEnd::BrokenOff);
     }
     Ok(answer)
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -243,7 +243,7 @@
 
 /// The end of a stream whose body ended between two events.
 async fn end_of_body(relay: &Relay) -> StreamEnd {
-    if relay.unframed && target_crashes::ended_with_process(&relay.call, &relay.send).await {
+    if relay.unframed && target_crashes::may_have_ended_with_process(&relay.call, &relay.send).await {
         StreamEnd::Interrupted
     } else {
         StreamEnd::Complete
--- a/crates/barleyspool_gateway/src/traffic/target_crashes.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_crashes.rs
@@ -6,7 +6,7 @@
 
 use super::Traffic;
 use super::call::Call;
-use super::connections::Presence;
+use super::connections::{Occupant, Presence};
 use super::reach;
 use super::send_guard::SendGuard;
 use crate::event_log::LogEvent;
@@ -98,11 +98,9 @@
     pub async fn has_crashed(&self, traffic: &Rc<Traffic>, target: &str, address: &str) -> bool {
         let plan = traffic.plan();
         let leaving = plan.targets.get(target).is_none_or(|entry| entry.leaving);
-        !leaving && self.has_ended(traffic, target, address).await
-    }
-
-    /// Whether the process of a target that broke a connection has ended, for whatever reason.
-    async fn has_ended(&self, traffic: &Rc<Traffic>, target: &str, address: &str) -> bool {
+        if leaving {
+            return false;
+        }
         let check = self.port_check(traffic.now(), target);
         let presence = check.get_or_init(|| traffic.connections.presence(address, target));
         *presence.await == Presence::Refused && reach::reaches_any(traffic).await
@@ -166,13 +164,37 @@
     }
 }
 
-/// Whether an answer that ended with its connection ended because the process of its target did. Such an answer looks whole, but
-/// may not be, and says nothing for its call. A target that is leaving may end in the middle of its answers too.
-pub async fn ended_with_process(call: &Call, send: &SendGuard) -> bool {
+/// Whether an answer that ended with its connection may have ended because the process of its target did. Such an answer looks
+/// whole, but may not be, and says nothing for its call. A target that is leaving may end in the middle of its answers too.
+///
+/// Only a target that runs on has ended its answer itself, so it is asked who it is after the end. What is known from before says
+/// nothing; nor does a process that has the address by now, as after a pause of this node. Where no answer names the target, a
+/// process that listens is taken for it.
+pub async fn may_have_ended_with_process(call: &Call, send: &SendGuard) -> bool {
+    if send.by_peer {
+        // The node that sends the call for this one checks its target itself, and marks the end of the answer.
+        return false;
+    }
     let (traffic, chosen) = (&call.traffic, &send.chosen);
-    // A node that sends the call for this one checks its target itself, and marks the end of the answer.
-    let crashes = &traffic.crashes;
-    !send.by_peer && crashes.has_ended(traffic, &chosen.id, &chosen.address).await
+    let service = call.catalog.service(&call.service);
+    let health_path = service.map(|service| service.health_path.as_str());
+    let may_ask = traffic
+        .forwarder
+        .borrow()
+        .allows_identity_check(traffic.now(), &chosen.id);
+    let health_path = health_path.filter(|path| may_ask && !path.is_empty());
+    let instance = traffic.adapters.target.read_instance;
+    if health_path.is_some() {
+        traffic.count(Counter::HealthChecked);
+    }
+    let occupant = traffic
+        .connections
+        .occupant(&chosen.address, &chosen.id, health_path, instance)
+        .await;
+    match occupant {
+        Occupant::Target | Occupant::Unknown => false,
+        Occupant::Other | Occupant::Nobody | Occupant::Unreached => true,
+    }
 }
 
 /// Records in the background that a target has answered a call whose stream it ended, as its framing says, but within an event:
