--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -37,6 +37,7 @@
 mod target_choice;
 mod target_crashes;
 mod target_reports;
+mod target_send;
 
 pub use relay_progress::RelayProgress;
 pub use relayed_stream::{RelayItem, RelayedStream};
--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -8,9 +8,9 @@
 use super::answer_reader;
 use super::call::Call;
 use super::connections::{SendFailure, TargetBody};
-use super::final_send::{self, TargetAnswer};
 use super::send_guard::SendGuard;
 use super::target_reports::{self, SentRequest};
+use super::target_send::{self, TargetAnswer};
 use barleyspool_core::{Counter, MemberView, Reason, Route, SendEnd, Span, VersionId};
 use barleyspool_wire::timer;
 use bytes::Bytes;
@@ -105,7 +105,7 @@
 /// Sends a call by way of the peer of `send`.
 ///
 /// # Errors
-/// How the send ended when it brought no answer that may be passed on, as for [`final_send::send_once`].
+/// How the send ended when it brought no answer that may be passed on, as for [`target_send::send_once`].
 pub async fn send_once(
     call: &Call,
     send: &mut SendGuard,
@@ -117,7 +117,7 @@
     let peer = send.chosen.address.clone();
     let request = request(call, &peer, inputs, resume_after).ok_or(SendEnd::Unreachable)?;
     let address = send_address(call, &peer).ok_or(SendEnd::Unreachable)?;
-    let timeout = final_send::response_timeout(call);
+    let timeout = target_send::response_timeout(call);
     let sent_at = traffic.now();
     let sent = traffic
         .connections
@@ -146,7 +146,7 @@
         by_peer: true,
     };
     let head = target_reports::read_head(traffic, sent_request, &parts);
-    final_send::read_answer(call, &target, connection, (parts, body), head).await
+    target_send::read_answer(call, &target, connection, (parts, body), head).await
 }
 
 /// Records which target the peer chose, so that the next send avoids it and the log names it.
--- a/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
@@ -5,7 +5,7 @@
 use super::call::{self, Call};
 use super::call_bounds::{Interruption, bounded};
 use super::call_guard::CallGuard;
-use super::final_send::{self, TargetAnswer};
+use super::final_send;
 use super::peer_send::{PeerSend, PeerSendFailure, SEND_PATH, TARGET_HEADER, VERSION_HEADER};
 use super::read_call::AcceptedHeader;
 use super::send_guard::SendGuard;
@@ -14,6 +14,7 @@
 use super::stream_origins::StreamOrigin;
 use super::target_choice;
 use super::target_crashes;
+use super::target_send::{self, TargetAnswer};
 use crate::failure::CallFailure;
 use barleyspool_core::{Counter, Reason, SendEnd, Span, Time, TrafficShare};
 use barleyspool_wire::net;
@@ -208,7 +209,7 @@
     let mut send = SendGuard::begin(call, chosen);
     final_send::log_sent(call, &send.chosen, &inputs, "for_peer");
     let (target, version) = (send.chosen.id.clone(), send.chosen.version);
-    let mut response = match final_send::send_once(call, &mut send, &inputs, resume_after).await {
+    let mut response = match target_send::send_once(call, &mut send, &inputs, resume_after).await {
         Ok(TargetAnswer::Stream(parts, body, connection, head)) => {
             let stream = (parts, body, connection, head);
             let used = (StageResults::new(&call.traffic), inputs);
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -7,7 +7,7 @@
 use super::call_guard::CallGuard;
 use super::callers::duration;
 use super::connections::{Connection, TargetBody};
-use super::final_send::{self, TargetAnswer};
+use super::final_send;
 use super::held_answer::{self, HeldAnswer, HeldPart};
 use super::relay_progress::RelayProgress;
 use super::relayed_stream::{RelayItem, RelayedStream};
@@ -16,6 +16,7 @@
 use super::stage_results::StageResults;
 use super::stages;
 use super::target_crashes;
+use super::target_send::{self, TargetAnswer};
 use crate::event_log::LogEvent;
 use crate::failure::CallFailure;
 use barleyspool_core::{AnswerDrop, Counter, NextStep, Reason, SendEnd, Span, StageProgress, next_step};
@@ -289,7 +290,7 @@
         };
         relay.send = send;
         final_send::log_sent(&call, &relay.send.chosen, &relay.inputs, "resumed");
-        let sent = final_send::send_once(&call, &mut relay.send, &relay.inputs, relayed.event).await;
+        let sent = target_send::send_once(&call, &mut relay.send, &relay.inputs, relayed.event).await;
         let mut history = call.history.get();
         match sent {
             Ok(TargetAnswer::Stream(parts, body, connection, head)) => {
