Close the connection to another target that has the address of the one asked

The check after an answer that ends with its connection kept each connection for the next call, also one to a target that has named itself as another. The next call would have been sent there, and refused as misdirected.

--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -207,8 +207,11 @@
         let Ok(connection) = connect(address, target).await else {
             return ProbeResult::NotAccepted;
         };
-        match self.health(connection, health_path).await {
-            Some(_) => ProbeResult::Answered,
+        match health(connection, health_path).await {
+            Some((connection, _)) => {
+                self.add_idle(connection, None);
+                ProbeResult::Answered
+            }
             None => ProbeResult::Unanswered,
         }
     }
@@ -228,25 +231,22 @@
             Err(_) => return Occupant::Unreached,
         };
         let Some(health_path) = health_path else {
+            // Marked as used, since like any idle connection it may be closed before the next request.
             connection.used = true;
             self.add_idle(connection, None);
             return Occupant::Unknown;
         };
-        let headers = self.health(connection, health_path).await;
-        match headers.as_ref().and_then(instance) {
+        let Some((connection, headers)) = health(connection, health_path).await else {
+            return Occupant::Unknown;
+        };
+        let occupant = match instance(&headers) {
             Some(id) if id == target => Occupant::Target,
-            Some(_) => Occupant::Other,
+            // The connection leads to another target, and is closed.
+            Some(_) => return Occupant::Other,
             None => Occupant::Unknown,
-        }
-    }
-
-    /// Requests the health of a target on a new connection, which is kept for the next call. Returns the headers of its answer.
-    async fn health(&self, mut connection: Connection, health_path: &str) -> Option<HeaderMap> {
-        let asked = timer::timeout(PROBE_TIMEOUT, exchange(&mut connection, health_path)).await;
-        let headers = asked.ok().flatten()?;
-        connection.used = true;
+        };
         self.add_idle(connection, None);
-        Some(headers)
+        occupant
     }
 
     /// Takes an idle connection to a target, but none on which `call` was refused or failed last, and none on which the body
@@ -330,6 +330,14 @@
     })
 }
 
+/// Requests the health of a target on a new connection. Returns the connection, for the next call, and the headers of the answer.
+async fn health(mut connection: Connection, health_path: &str) -> Option<(Connection, HeaderMap)> {
+    let asked = timer::timeout(PROBE_TIMEOUT, exchange(&mut connection, health_path)).await;
+    let headers = asked.ok().flatten()?;
+    connection.used = true;
+    Some((connection, headers))
+}
+
 /// Requests the health of a target, and returns the headers of its answer once that is complete.
 async fn exchange(connection: &mut Connection, health_path: &str) -> Option<HeaderMap> {
     let request = Request::get(health_path)
