Log answers that cannot be told from another one on their connection

An ended line says neither how an answer was framed nor what its body holds, so that the hypotheses of docs/incidents/second-answers.md cannot be told apart from a log. Added: answer_faulty lines and the counter answers_faulty, with the fault (second_answer, two_heads, transfer_coding), and answer_ended lines with who runs at the address of a target whose answer ended with its connection. What becomes of an answer is not changed.

The body of each answer is a TargetBody now, made in Connections::send, which searches bodies without a length for the head of another answer.

--- a/crates/barleyspool_core/src/counters.rs
+++ b/crates/barleyspool_core/src/counters.rs
@@ -1,6 +1,6 @@
 //! Event counters. The log records only state changes; the counters record how often each event occurred.
 
-use crate::{AnswerDrop, AnswerId, Reason, RetryReason, ServiceIx};
+use crate::{AnswerDrop, AnswerFault, AnswerId, Reason, RetryReason, ServiceIx};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -35,6 +35,8 @@
     Undelivered,
     /// Answers of targets that were dropped before they were complete, by the reason.
     AnswerDropped(AnswerDrop),
+    /// Answers that cannot be told from another one on their connection, by the reason.
+    AnswerFaulty(AnswerFault),
     /// Responses that arrived after their attempt had been cancelled.
     #[serde(rename = "Late")]
     LateAnswer,
@@ -105,6 +107,7 @@
             Self::SlowHeader => "slow_head",
             Self::Undelivered => "undelivered",
             Self::AnswerDropped(_) => "answers_dropped",
+            Self::AnswerFaulty(_) => "answers_faulty",
             Self::LateAnswer => "late",
             Self::StreamGap => "gap",
             Self::Joined => "joined",
--- /dev/null
+++ b/crates/barleyspool_core/src/forward/second_answer.rs
@@ -0,0 +1,176 @@
+//! Finds another answer in the body of an answer that ends with its connection.
+//!
+//! Such a body has no end of its own, so that whatever its target sends behind it looks like a part of it. The head of an answer is
+//! the only sign. See docs/DESIGN.md, "Where an answer ends".
+
+use memchr::{memchr, memmem};
+use serde::{Deserialize, Serialize};
+
+/// How a status line begins.
+const VERSION: &[u8] = b"HTTP/1.";
+/// The least bytes of a status line at the end of a body that count as an answer which was cut off. Fewer are common in texts.
+const MIN_CUT_BYTES: usize = b"HTTP/".len();
+/// How much of a head is read before the bytes are taken for text.
+const MAX_HEAD_BYTES: usize = 4096;
+
+/// Why an answer cannot be told from another one on its connection.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum AnswerFault {
+    /// Another answer follows in the body of one without a length.
+    SecondAnswer,
+    /// The head contains a status line: it joins two heads, of which the first was not completed.
+    TwoHeads,
+    /// The body has a transfer coding that does not tell where it ends.
+    TransferCoding,
+}
+
+impl AnswerFault {
+    /// The stable name shown to operators.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::SecondAnswer => "second_answer",
+            Self::TwoHeads => "two_heads",
+            Self::TransferCoding => "transfer_coding",
+        }
+    }
+}
+
+/// Finds the head of another answer in a body that arrives in parts.
+///
+/// A body may be a text about HTTP, which contains heads too. Those in texts have lines that end with LF alone, and no header of the
+/// targets' protocol.
+#[derive(Clone, Debug)]
+pub struct SecondAnswer {
+    /// The names of headers that only answers of targets have, in lower case.
+    marks: &'static [&'static str],
+    /// The last bytes of the body, if they may begin a head.
+    begun: Vec<u8>,
+}
+
+impl SecondAnswer {
+    /// Begins to search a body. An answer whose head has one of the headers `marks`, in lower case, is one of a target.
+    pub fn new(marks: &'static [&'static str]) -> Self {
+        Self {
+            marks,
+            begun: Vec::new(),
+        }
+    }
+
+    /// Searches the next part of the body. Returns how many of its bytes precede another answer, if there is one.
+    pub fn find(&mut self, part: &[u8]) -> Option<usize> {
+        if self.begun.is_empty() {
+            return self.search(part, 0);
+        }
+        let mut bytes = std::mem::take(&mut self.begun);
+        let earlier = bytes.len();
+        bytes.extend_from_slice(part);
+        self.search(&bytes, earlier)
+    }
+
+    /// Whether the body ends with the beginning of an answer, if it has no further part.
+    pub fn is_cut(&self) -> bool {
+        match memchr(b'\n', &self.begun) {
+            Some(end) => end > 0 && self.begun[end - 1] == b'\r',
+            None => self.begun.len() >= MIN_CUT_BYTES,
+        }
+    }
+
+    /// Searches bytes of which the first `earlier` belong to the parts before.
+    fn search(&mut self, bytes: &[u8], earlier: usize) -> Option<usize> {
+        let mut from = 0;
+        while let Some(at) = memmem::find(&bytes[from..], VERSION) {
+            let begin = from + at;
+            match read_head(&bytes[begin..], self.marks) {
+                Head::Answer => return Some(begin.saturating_sub(earlier)),
+                Head::Text => from = begin + VERSION.len(),
+                Head::Incomplete => {
+                    self.begun = bytes[begin..].to_vec();
+                    return None;
+                }
+            }
+        }
+        let rest = &bytes[from..];
+        let begun = (1..VERSION.len())
+            .rev()
+            .find(|length| rest.ends_with(&VERSION[..*length]));
+        self.begun = rest[rest.len() - begun.unwrap_or(0)..].to_vec();
+        None
+    }
+}
+
+/// Whether the value of a header contains a status line.
+pub fn has_status_line(value: &[u8]) -> bool {
+    memmem::find_iter(value, VERSION).any(|at| read_status_line(&value[at..]) == Head::Answer)
+}
+
+/// What bytes are that begin with [`VERSION`].
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Head {
+    Answer,
+    Text,
+    /// More bytes are needed to tell.
+    Incomplete,
+}
+
+/// Reads a status line up to its status.
+fn read_status_line(bytes: &[u8]) -> Head {
+    let rest = &bytes[VERSION.len()..];
+    // The minor version, a blank and the status.
+    let is_expected = |(index, byte): (usize, &u8)| match index {
+        1 => *byte == b' ',
+        2 => (b'1'..=b'9').contains(byte),
+        _ => byte.is_ascii_digit(),
+    };
+    let shape = &rest[..rest.len().min(5)];
+    if !shape.iter().enumerate().all(is_expected) {
+        return Head::Text;
+    }
+    match rest.get(5) {
+        None if shape.len() < 5 => Head::Incomplete,
+        None | Some(b' ' | b'\r' | b'\n') => Head::Answer,
+        Some(_) => Head::Text,
+    }
+}
+
+/// Reads a head as far as it is needed to tell it from a text about HTTP.
+fn read_head(bytes: &[u8], marks: &[&str]) -> Head {
+    match read_status_line(bytes) {
+        Head::Answer => {}
+        other => return other,
+    }
+    let is_long = bytes.len() > MAX_HEAD_BYTES;
+    let incomplete = if is_long { Head::Text } else { Head::Incomplete };
+    let mut lines = bytes[..bytes.len().min(MAX_HEAD_BYTES)].split_inclusive(|byte| *byte == b'\n');
+    let is_first_crlf = match lines.next() {
+        Some(line) if line.ends_with(b"\n") => line.ends_with(b"\r\n"),
+        _ => return incomplete,
+    };
+    for line in lines {
+        if !line.ends_with(b"\n") {
+            return incomplete;
+        }
+        let is_crlf = is_first_crlf && line.ends_with(b"\r\n");
+        let is_end = line.trim_ascii().is_empty();
+        match field_name(line) {
+            Some(_) if is_crlf => return Head::Answer,
+            Some(name)
+                if marks
+                    .iter()
+                    .any(|mark| name.eq_ignore_ascii_case(mark.as_bytes())) =>
+            {
+                return Head::Answer;
+            }
+            Some(_) => {}
+            None if is_end && is_crlf => return Head::Answer,
+            None => return Head::Text,
+        }
+    }
+    incomplete
+}
+
+/// The name of a header line; `None` if it is none.
+fn field_name(line: &[u8]) -> Option<&[u8]> {
+    let name = &line[..memchr(b':', line)?];
+    let is_token = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    (!name.is_empty() && name.iter().all(is_token)).then_some(name)
+}
--- a/crates/barleyspool_gateway/src/adapters.rs
+++ b/crates/barleyspool_gateway/src/adapters.rs
@@ -95,6 +95,8 @@
     /// Changes the headers of a caller's request to those of the request to the target; returns false if one of them cannot
     /// carry its text, and then the request must not be sent.
     pub prepare_headers: fn(&mut HeaderMap, &SendHead) -> bool,
+    /// The names of headers that only answers of targets have, in lower case.
+    pub answer_marks: &'static [&'static str],
     /// Parses the head of an answer.
     pub read_answer_head: fn(&response::Parts) -> AnswerHead,
     /// The id of the target that a health answer names, whether it is well or not.
--- a/crates/barleyspool_gateway/src/event_log.rs
+++ b/crates/barleyspool_gateway/src/event_log.rs
@@ -385,6 +385,24 @@
         /// The bytes of its body that had been received; for a stream, those of an incomplete event.
         bytes: usize,
     },
+    /// An answer of a target cannot be told from another one on its connection.
+    AnswerFaulty {
+        /// The target's address.
+        address: &'a str,
+        /// Why.
+        fault: &'a str,
+        /// The bytes of its body that had been received.
+        bytes: usize,
+    },
+    /// An answer of a target ended with its connection, and who runs at the target's address was looked up.
+    AnswerEnded {
+        /// The call's id.
+        id: &'a str,
+        /// The target's id.
+        target: &'a str,
+        /// Who runs there.
+        occupant: &'a str,
+    },
     /// A target did not run a call, since stage results that it reads are gone.
     InputsGone {
         /// The call's id.
--- a/crates/barleyspool_gateway/src/metrics.rs
+++ b/crates/barleyspool_gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use barleyspool_core::{
-    AnswerDrop, AnswerId, CapacityUsage, Counter, Reason, RetryReason, TargetCounts, Time,
+    AnswerDrop, AnswerFault, AnswerId, CapacityUsage, Counter, Reason, RetryReason, TargetCounts, Time,
 };
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Meter, MeterProvider};
@@ -23,6 +23,7 @@
     Counter::RetryDenied,
     Counter::Misdirected,
     Counter::AnswerDropped(AnswerDrop::TooLarge),
+    Counter::AnswerFaulty(AnswerFault::SecondAnswer),
     Counter::StreamBrokenOff,
     Counter::StreamResumed,
     Counter::StreamTakenUp,
@@ -242,6 +243,7 @@
         }
         Counter::SendRefused(id) => vec![KeyValue::new("answer_id", id.name())],
         Counter::AnswerDropped(cause) => vec![KeyValue::new("cause", cause.name())],
+        Counter::AnswerFaulty(fault) => vec![KeyValue::new("fault", fault.name())],
         Counter::Retried(reason) => vec![KeyValue::new("reason", reason.name())],
         Counter::Complete(rank) | Counter::RefusedByRank(rank) => {
             vec![KeyValue::new("rank", i64::from(rank))]
--- a/crates/barleyspool_gateway/src/traffic/answer_reader.rs
+++ b/crates/barleyspool_gateway/src/traffic/answer_reader.rs
@@ -1,8 +1,8 @@
 //! Reads answers of targets whole, within the limits of their size and of the node's memory.
 
 use super::Traffic;
-use super::connections::TargetBody;
-use super::held_answer::{HeldAnswer, record_dropped};
+use super::held_answer::{HeldAnswer, record_dropped, record_fault};
+use super::target_body::TargetBody;
 use barleyspool_core::AnswerDrop;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -93,6 +93,9 @@
             blocks.push_back(std::mem::take(&mut block).freeze());
         }
     }
+    if let Some(fault) = body.fault() {
+        record_fault(traffic, address, fault, length);
+    }
     if !block.is_empty() {
         blocks.push_back(block.freeze());
     }
--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -1,15 +1,16 @@
 //! Connections to targets. A connection serves one call at a time, and is reused only after a complete answer.
 
+use super::answer_framing::is_final;
 use super::answer_reader;
+use super::target_body::TargetBody;
 use barleyspool_core::{AnswerTrail, PieceOutcome, SendEnd};
-use barleyspool_wire::read_limit::{self, LimitedBody, ReadProgress};
+use barleyspool_wire::read_limit::{self, ReadProgress};
 use barleyspool_wire::{net, time_since_boot, timer};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HOST, HeaderMap};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -27,9 +28,6 @@
 /// Largest body of such an answer, in bytes.
 const MAX_HEALTH_BYTES: usize = 65_536;
 
-/// The body of an answer of a target.
-pub type TargetBody = LimitedBody<Incoming>;
-
 /// A connection to the target with the id `target`.
 #[derive(Debug)]
 pub struct Connection {
@@ -124,6 +122,19 @@
     Unreached,
 }
 
+impl Occupant {
+    /// The stable name shown to operators.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Target => "target",
+            Self::Other => "other",
+            Self::Unknown => "unknown",
+            Self::Nobody => "nobody",
+            Self::Unreached => "unreached",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -132,12 +143,22 @@
 }
 
 /// The idle connections of one traffic thread, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Connections {
+    /// The names of headers that only answers of targets have, in lower case.
+    marks: &'static [&'static str],
     idle: RefCell<HashMap<String, VecDeque<IdleConnection>>>,
 }
 
 impl Connections {
+    /// Creates connections to targets whose answers have some of the headers `marks`, in lower case.
+    pub fn new(marks: &'static [&'static str]) -> Self {
+        Self {
+            marks,
+            idle: RefCell::default(),
+        }
+    }
+
     /// Sends a request to the target with the id `target`, on an idle connection if there is one. An idle connection
     /// that turns out to be closed is replaced by a new one, since nothing was written to it. `call` is the id of the call
     /// that is sent. A call that is sent to the same target again takes another connection than the first time: the target may
@@ -172,7 +193,7 @@
                     connection.reused = connection.used;
                     connection.used = true;
                     connection.failed_call = None;
-                    let response = response.map(|body| LimitedBody::new(body, &connection.progress));
+                    let response = TargetBody::of(response, &connection.progress, self.marks);
                     return Ok((connection, response));
                 }
                 Err(mut error) => match error.take_message() {
@@ -308,12 +329,6 @@
     }
 }
 
-/// Whether a status is that of a final answer. One from 100 to 199 announces another answer, and one above 599 is not defined, so
-/// that a caller can't tell whether its call succeeded. The HTTP library refuses those below 100.
-fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 async fn connect(address: &str, target: &str) -> io::Result<Connection> {
     let stream = timer::timeout(CONNECT_TIMEOUT, net::connect(address)).await??;
     let (sender, driver, progress) = read_limit::handshake(stream).await.map_err(io::Error::other)?;
@@ -349,8 +364,7 @@
     if !is_final(answer.status()) {
         return None;
     }
-    let (parts, body) = answer.into_parts();
-    let body = LimitedBody::new(body, &connection.progress);
+    let (parts, body) = TargetBody::of(answer, &connection.progress, &[]).into_parts();
     let complete = answer_reader::discard(body, MAX_HEALTH_BYTES).await;
     complete.then_some(parts.headers)
 }
--- a/crates/barleyspool_gateway/src/traffic/final_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/final_send.rs
@@ -1,17 +1,19 @@
 //! Sends a call until it is answered, and repeats the send where that is allowed. [`super::target_send`] does each send.
 
 use super::answer_body::{AnswerBody, BufferedBody};
+use super::answer_framing::ends_with_connection;
 use super::answer_reader::HeldBody;
 use super::call::Call;
 use super::call_guard::CallGuard;
 use super::callers::duration;
-use super::connections::{Connection, TargetBody};
+use super::connections::Connection;
 use super::held_bytes::HeldBytes;
 use super::reach;
 use super::send_guard::SendGuard;
-use super::send_request::{answer_parts, ends_with_connection};
+use super::send_request::answer_parts;
 use super::stage_results::StageResults;
 use super::stream_relay::{self, Relay};
+use super::target_body::TargetBody;
 use super::target_crashes;
 use super::target_send::{TargetAnswer, send_once};
 use crate::adapters::AnswerHead;
@@ -166,7 +168,7 @@
         send,
         connection: Some(connection),
         keep_alive: head.keep_alive,
-        unframed: ends_with_connection(&parts),
+        unframed: ends_with_connection(&parts.headers),
         parts: answer_parts(parts),
         body: Some(body),
         results,
--- a/crates/barleyspool_gateway/src/traffic/held_answer.rs
+++ b/crates/barleyspool_gateway/src/traffic/held_answer.rs
@@ -2,7 +2,7 @@
 
 use super::Traffic;
 use crate::event_log::LogEvent;
-use barleyspool_core::{AnswerDrop, AnswerKey, AnswerMemory, Counter, rendezvous};
+use barleyspool_core::{AnswerDrop, AnswerFault, AnswerKey, AnswerMemory, Counter, rendezvous};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -125,3 +125,14 @@
     };
     traffic.log.write(traffic.now(), &line);
 }
+
+/// Counts and logs an answer that cannot be told from another one. `bytes` of its body had been received.
+pub fn record_fault(traffic: &Traffic, address: &str, fault: AnswerFault, bytes: usize) {
+    traffic.count(Counter::AnswerFaulty(fault));
+    let line = LogEvent::AnswerFaulty {
+        address,
+        fault: fault.name(),
+        bytes,
+    };
+    traffic.log.write(traffic.now(), &line);
+}
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer_body;
+mod answer_framing;
 mod answer_reader;
 mod call;
 mod call_bounds;
@@ -34,6 +35,7 @@
 mod stopping;
 mod stream_origins;
 mod stream_relay;
+mod target_body;
 mod target_choice;
 mod target_crashes;
 mod target_reports;
@@ -202,12 +204,12 @@
     let answers = HeldAnswers::new(shared.settings.answer_memory_mb << 20);
     let traffic = Rc::new(Traffic {
         shared,
+        connections: Connections::new(adapters.target.answer_marks),
         adapters,
         log,
         plan: RefCell::default(),
         plan_applied: Notify::new(),
         forwarder: RefCell::new(forwarder),
-        connections: Connections::default(),
         pools: Pools::default(),
         peers: Peers::default(),
         counters: RefCell::default(),
--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -7,8 +7,9 @@
 
 use super::answer_reader;
 use super::call::Call;
-use super::connections::{SendFailure, TargetBody};
+use super::connections::SendFailure;
 use super::send_guard::SendGuard;
+use super::target_body::TargetBody;
 use super::target_reports::{self, SentRequest};
 use super::target_send::{self, TargetAnswer};
 use barleyspool_core::{Counter, MemberView, Reason, Route, SendEnd, Span, VersionId};
--- a/crates/barleyspool_gateway/src/traffic/reach.rs
+++ b/crates/barleyspool_gateway/src/traffic/reach.rs
@@ -1,8 +1,10 @@
 //! Checks over new connections which services this node reaches, and watches sends for signs that it lost some.
 
 use super::Traffic;
-use super::connections::{Connection, Presence, ProbeResult, SendFailure, TargetBody};
-use super::held_answer::record_dropped;
+use super::answer_framing::head_fault;
+use super::connections::{Connection, Presence, ProbeResult, SendFailure};
+use super::held_answer::{record_dropped, record_fault};
+use super::target_body::TargetBody;
 use crate::event_log::LogEvent;
 use crate::shared::TargetObservation;
 use barleyspool_core::{AnswerDrop, CheckResult, Counter, ReachChange, TargetReach, Time};
@@ -92,6 +94,11 @@
         if matches!(sent, Err(SendFailure::NoResult)) {
             record_dropped(self, address, AnswerDrop::NoResult, 0);
         }
+        if let Ok((_, answer)) = &sent
+            && let Some(fault) = head_fault(answer.headers())
+        {
+            record_fault(self, address, fault, 0);
+        }
         match &sent {
             Ok(_) => self
                 .reach
--- a/crates/barleyspool_gateway/src/traffic/send_request.rs
+++ b/crates/barleyspool_gateway/src/traffic/send_request.rs
@@ -39,11 +39,6 @@
     can_send.then_some(request)
 }
 
-/// Whether an answer has neither a length nor chunks, so that it ends with its connection.
-pub fn ends_with_connection(parts: &Parts) -> bool {
-    !parts.headers.contains_key(CONTENT_LENGTH) && !parts.headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// The status and headers of a target's answer, as sent to the caller.
 pub fn answer_parts(mut parts: Parts) -> Parts {
     drop_connection_headers(&mut parts.headers, &[]);
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -2,19 +2,20 @@
 //! It has nothing to do with the relay port, which passes source data to other nodes.
 
 use super::answer_body::AnswerBody;
+use super::answer_framing::ends_with_connection;
 use super::call::Call;
 use super::call_bounds::{Interruption, bounded};
 use super::call_guard::CallGuard;
 use super::callers::duration;
-use super::connections::{Connection, TargetBody};
+use super::connections::Connection;
 use super::final_send;
 use super::held_answer::{self, HeldAnswer, HeldPart};
 use super::relay_progress::RelayProgress;
 use super::relayed_stream::{RelayItem, RelayedStream};
 use super::send_guard::SendGuard;
-use super::send_request::ends_with_connection;
 use super::stage_results::StageResults;
 use super::stages;
+use super::target_body::TargetBody;
 use super::target_crashes;
 use super::target_send::{self, TargetAnswer};
 use crate::event_log::LogEvent;
@@ -111,6 +112,7 @@
             StreamEnd::Complete => return RelayEnd::Complete,
             StreamEnd::CallerLeft => return RelayEnd::CallerLeft,
             end @ (StreamEnd::Interrupted | StreamEnd::WithinEvent) => {
+                record_second(relay, &relayed);
                 record_broken_off(relay, relayed.event);
                 if matches!(end, StreamEnd::WithinEvent) {
                     target_crashes::record_if_running(&relay.call, &relay.send);
@@ -221,6 +223,14 @@
     }
 }
 
+/// Logs another answer that the target has sent in its stream.
+fn record_second(relay: &Relay, relayed: &RelayProgress) {
+    if let Some(fault) = relay.body.as_ref().and_then(TargetBody::fault) {
+        let address = &relay.send.chosen.address;
+        held_answer::record_fault(&relay.call.traffic, address, fault, relayed.incomplete_bytes());
+    }
+}
+
 /// The end of a stream that failed, or was broken off by this node because of the framing that its target sends.
 fn interrupted(relay: &Relay, relayed: &RelayProgress) -> StreamEnd {
     let body = relay.body.as_ref();
@@ -296,7 +306,7 @@
             Ok(TargetAnswer::Stream(parts, body, connection, head)) => {
                 history.record_end(SendEnd::Answered { success: true });
                 call.history.set(history);
-                relay.unframed = ends_with_connection(&parts);
+                relay.unframed = ends_with_connection(&parts.headers);
                 relay.body = Some(body);
                 relay.connection = Some(connection);
                 relay.keep_alive = head.keep_alive;
--- a/crates/barleyspool_gateway/src/traffic/target_crashes.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_crashes.rs
@@ -191,6 +191,12 @@
         .connections
         .occupant(&chosen.address, &chosen.id, health_path, instance)
         .await;
+    let line = LogEvent::AnswerEnded {
+        id: &call.head.id,
+        target: &chosen.id,
+        occupant: occupant.name(),
+    };
+    traffic.log.write_routine(traffic.now(), &line);
     match occupant {
         Occupant::Target | Occupant::Unknown => false,
         Occupant::Other | Occupant::Nobody | Occupant::Unreached => true,
--- a/crates/barleyspool_gateway/src/traffic/target_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_send.rs
@@ -1,12 +1,14 @@
 //! Sends a call to a target once, and reads its answer as far as it may be passed on.
 
+use super::answer_framing::ends_with_connection;
 use super::answer_reader::{self, HeldBody};
 use super::call::Call;
 use super::callers::duration;
-use super::connections::{Connection, TargetBody};
+use super::connections::Connection;
 use super::peer_send;
 use super::send_guard::SendGuard;
-use super::send_request::{ends_with_connection, request};
+use super::send_request::request;
+use super::target_body::TargetBody;
 use super::target_crashes::may_have_ended_with_process;
 use super::target_reports::{self, SentRequest};
 use crate::adapters::AnswerHead;
@@ -72,7 +74,7 @@
         by_peer: false,
     };
     let head = target_reports::read_head(traffic, sent_request, &parts);
-    let is_unframed = ends_with_connection(&parts);
+    let is_unframed = ends_with_connection(&parts.headers);
     let answer = read_answer(call, &chosen.id, connection, (parts, body), head).await?;
     if is_unframed
         && matches!(answer, TargetAnswer::Buffered(..))
@@ -115,7 +117,7 @@
     }
     if refused {
         // The refusal stands without its body, which is read for the connection alone.
-        if !ends_with_connection(&parts) && read_refusal_body(body).await {
+        if !ends_with_connection(&parts.headers) && read_refusal_body(body).await {
             traffic.connections.add_idle(connection, keep_alive(&head));
         }
         return Err(SendEnd::Refused {
