End a body without a length where its target begins another answer

What callers saw: a 200 whose body holds two answers, the head of the second included, framed as whole (MIXED); in streams, an event with a second answer in it. Cause: an answer with neither a length nor chunks ends with its connection, so that whatever its target sends behind it is a part of its body. Why it works: all answers pass through TargetBody, which ends with an error where the head of another answer begins, or where the body ends with the beginning of one. A buffered answer is then broken off; a stream goes on elsewhere where it may.

--- a/crates/barleyspool_gateway/src/traffic/answer_reader.rs
+++ b/crates/barleyspool_gateway/src/traffic/answer_reader.rs
@@ -80,7 +80,12 @@
             Some(Err(_)) if body.progress().is_exhausted() => {
                 return drop_answer(AnswerDrop::NoResult, length);
             }
-            Some(Err(_)) => return None,
+            Some(Err(_)) => {
+                if let Some(fault) = body.fault() {
+                    record_fault(traffic, address, fault, length);
+                }
+                return None;
+            }
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         length += data.len();
@@ -93,9 +98,6 @@
             blocks.push_back(std::mem::take(&mut block).freeze());
         }
     }
-    if let Some(fault) = body.fault() {
-        record_fault(traffic, address, fault, length);
-    }
     if !block.is_empty() {
         blocks.push_back(block.freeze());
     }
--- a/crates/barleyspool_gateway/src/traffic/stream_relay.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_relay.rs
@@ -15,7 +15,7 @@
 use super::send_guard::SendGuard;
 use super::stage_results::StageResults;
 use super::stages;
-use super::target_body::TargetBody;
+use super::target_body::{BodyError, TargetBody};
 use super::target_crashes;
 use super::target_send::{self, TargetAnswer};
 use crate::event_log::LogEvent;
@@ -112,7 +112,6 @@
             StreamEnd::Complete => return RelayEnd::Complete,
             StreamEnd::CallerLeft => return RelayEnd::CallerLeft,
             end @ (StreamEnd::Interrupted | StreamEnd::WithinEvent) => {
-                record_second(relay, &relayed);
                 record_broken_off(relay, relayed.event);
                 if matches!(end, StreamEnd::WithinEvent) {
                     target_crashes::record_if_running(&relay.call, &relay.send);
@@ -223,20 +222,18 @@
     }
 }
 
-/// Logs another answer that the target has sent in its stream.
-fn record_second(relay: &Relay, relayed: &RelayProgress) {
-    if let Some(fault) = relay.body.as_ref().and_then(TargetBody::fault) {
-        let address = &relay.send.chosen.address;
-        held_answer::record_fault(&relay.call.traffic, address, fault, relayed.incomplete_bytes());
-    }
-}
-
 /// The end of a stream that failed, or was broken off by this node because of the framing that its target sends.
 fn interrupted(relay: &Relay, relayed: &RelayProgress) -> StreamEnd {
-    let body = relay.body.as_ref();
-    if body.is_some_and(|body| body.progress().is_exhausted()) {
+    let Some(body) = &relay.body else {
+        return StreamEnd::Interrupted;
+    };
+    if body.progress().is_exhausted() {
         return drop_stream(relay, AnswerDrop::NoResult, relayed);
     }
+    if let Some(fault) = body.fault() {
+        let address = &relay.send.chosen.address;
+        held_answer::record_fault(&relay.call.traffic, address, fault, relayed.incomplete_bytes());
+    }
     StreamEnd::Interrupted
 }
 
@@ -261,7 +258,7 @@
     }
 }
 
-async fn next_frame(body: &mut Option<TargetBody>) -> Option<hyper::Result<Frame<Bytes>>> {
+async fn next_frame(body: &mut Option<TargetBody>) -> Option<Result<Frame<Bytes>, BodyError>> {
     match body {
         Some(body) => body.frame().await,
         None => None,
--- a/crates/barleyspool_gateway/src/traffic/target_body.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_body.rs
@@ -41,32 +41,56 @@
         self.body.progress()
     }
 
-    /// What is wrong with the part that has been read, if anything is.
+    /// Why it ended before its target's connection did, if it did.
     pub fn fault(&self) -> Option<AnswerFault> {
         self.fault
     }
 }
 
+/// The body of an answer ended before the answer was complete.
+#[derive(Debug, displaydoc::Display)]
+pub enum BodyError {
+    /// the connection failed: {0}
+    Connection(hyper::Error),
+    /// another answer follows in the body
+    SecondAnswer,
+}
+
+impl std::error::Error for BodyError {}
+
 impl Body for TargetBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        if let Some(second) = &mut self.second {
-            let is_found = match &frame {
-                Some(Ok(frame)) => frame.data_ref().is_some_and(|data| second.find(data).is_some()),
-                Some(Err(_)) => false,
-                None => second.is_cut(),
-            };
-            if is_found {
-                self.fault = Some(AnswerFault::SecondAnswer);
-            }
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.fault.is_some() {
+            return Poll::Ready(Some(Err(BodyError::SecondAnswer)));
         }
-        Poll::Ready(frame)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        let frame = frame.map(|frame| frame.map_err(BodyError::Connection));
+        let Some(second) = &mut self.second else {
+            return Poll::Ready(frame);
+        };
+        let end = match &frame {
+            Some(Ok(frame)) => frame.data_ref().and_then(|data| second.find(data)),
+            Some(Err(_)) => None,
+            None => second.is_cut().then_some(0),
+        };
+        let Some(end) = end else {
+            return Poll::Ready(frame);
+        };
+        self.fault = Some(AnswerFault::SecondAnswer);
+        // What precedes the other answer may be complete events of a stream.
+        let data = frame
+            .and_then(Result::ok)
+            .and_then(|frame| frame.into_data().ok());
+        Poll::Ready(Some(match data {
+            Some(data) if end > 0 => Ok(Frame::data(data.slice(..end))),
+            _ => Err(BodyError::SecondAnswer),
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
