Take a head that contains a status line for no answer

In second_answers, real processes: a failure (500) of a target reached its caller as a 200 with the failure's body (MIXED). Cause: a target that stops within a header and begins its answer anew leaves a head that the parser joins with the next one: the status of the first, and id, seal and body of the second. Why it works: the next status line is then part of the value of a header; no header of an answer holds one. Such a head counts as no answer on every path (Connections::send, health requests): the call may have run, and the connection is closed.

--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -1,9 +1,9 @@
 //! Connections to targets. A connection serves one call at a time, and is reused only after a complete answer.
 
-use super::answer_framing::is_final;
+use super::answer_framing::{head_fault, is_final};
 use super::answer_reader;
 use super::target_body::TargetBody;
-use barleyspool_core::{AnswerTrail, PieceOutcome, SendEnd};
+use barleyspool_core::{AnswerFault, AnswerTrail, PieceOutcome, SendEnd};
 use barleyspool_wire::read_limit::{self, ReadProgress};
 use barleyspool_wire::{net, time_since_boot, timer};
 use bytes::Bytes;
@@ -74,13 +74,15 @@
     Interrupted,
     /// The same, since bytes came that are no answer.
     NoResult,
+    /// A head was received that is not that of one answer.
+    Faulty(AnswerFault),
 }
 
 impl From<SendFailure> for SendEnd {
     fn from(failure: SendFailure) -> Self {
         match failure {
             SendFailure::NotWritten => Self::Unreachable,
-            SendFailure::Interrupted | SendFailure::NoResult => Self::BrokenOff,
+            SendFailure::Interrupted | SendFailure::NoResult | SendFailure::Faulty(_) => Self::BrokenOff,
         }
     }
 }
@@ -190,6 +192,9 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) if !is_final(response.status()) => return Err(SendFailure::NoResult),
                 Ok(response) => {
+                    if let Some(fault @ AnswerFault::TwoHeads) = head_fault(response.headers()) {
+                        return Err(SendFailure::Faulty(fault));
+                    }
                     connection.reused = connection.used;
                     connection.used = true;
                     connection.failed_call = None;
@@ -361,7 +366,7 @@
     let request = request.ok()?;
     connection.sender.ready().await.ok()?;
     let answer = connection.sender.send_request(request).await.ok()?;
-    if !is_final(answer.status()) {
+    if !is_final(answer.status()) || head_fault(answer.headers()).is_some() {
         return None;
     }
     let (parts, body) = TargetBody::of(answer, &connection.progress, &[]).into_parts();
--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -456,7 +456,7 @@
     let (mut connection, response) = match sent {
         Ok(sent) => sent,
         Err(SendFailure::NotWritten) => return BatchAnswer::without_connection(BatchOutcome::Unreachable),
-        Err(SendFailure::Interrupted | SendFailure::NoResult) => {
+        Err(SendFailure::Interrupted | SendFailure::NoResult | SendFailure::Faulty(_)) => {
             return BatchAnswer::without_connection(BatchOutcome::BrokenOff);
         }
     };
--- a/crates/barleyspool_gateway/src/traffic/reach.rs
+++ b/crates/barleyspool_gateway/src/traffic/reach.rs
@@ -1,7 +1,6 @@
 //! Checks over new connections which services this node reaches, and watches sends for signs that it lost some.
 
 use super::Traffic;
-use super::answer_framing::head_fault;
 use super::connections::{Connection, Presence, ProbeResult, SendFailure};
 use super::held_answer::{record_dropped, record_fault};
 use super::target_body::TargetBody;
@@ -91,13 +90,10 @@
         let pending = PendingSend::begin(self, service);
         let sent = self.connections.send((address, id), call, request, sending).await;
         drop(pending);
-        if matches!(sent, Err(SendFailure::NoResult)) {
-            record_dropped(self, address, AnswerDrop::NoResult, 0);
-        }
-        if let Ok((_, answer)) = &sent
-            && let Some(fault) = head_fault(answer.headers())
-        {
-            record_fault(self, address, fault, 0);
+        match sent {
+            Err(SendFailure::NoResult) => record_dropped(self, address, AnswerDrop::NoResult, 0),
+            Err(SendFailure::Faulty(fault)) => record_fault(self, address, fault, 0),
+            _ => {}
         }
         match &sent {
             Ok(_) => self
