Take answers in an unknown transfer coding for no answers

Cause: the HTTP library reads a body in a coding other than chunks up to the end of its connection and decodes nothing, while the check of answers that end with their connection looked for a missing Transfer-Encoding: an answer that a crash cut off looked whole. Why it works: only chunked tells where a body ends and is decoded; an answer in another coding is broken off on every path.

--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -192,7 +192,7 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) if !is_final(response.status()) => return Err(SendFailure::NoResult),
                 Ok(response) => {
-                    if let Some(fault @ AnswerFault::TwoHeads) = head_fault(response.headers()) {
+                    if let Some(fault) = head_fault(response.headers()) {
                         return Err(SendFailure::Faulty(fault));
                     }
                     connection.reused = connection.used;
