--- a/crates/barleyspool_gateway/src/adapters.rs
+++ b/crates/barleyspool_gateway/src/adapters.rs
@@ -58,7 +58,7 @@
 /// What a target reports in the head of its answer.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerHead {
-    /// The id of the call that is answered.
+    /// The id of the call that is answered; `None` if the answer names none, or several.
     pub id: Option<String>,
     /// Whether the answer has the header with which a target marks it as its own and complete. A successful answer
     /// without it counts as interrupted.
