Remember all calls that a connection has brought a refusal or failure of

What callers saw: nothing known. In late_refusals, real processes: an unrepeatable call that its target ran was refused as not run (REFUSED), in 2 of 2 runs of the test on the code before. Cause: a target may send a refusal once more, later. A call that is sent again to the same target takes another connection, so that a copy of its first refusal is not taken for the next one. The connection remembered the last call only: after another call on it, the third send of the first call could use it. Why it works: the last 64 calls that were refused or failed are remembered for as long as the connection is kept. Result: a_third_send_is_not_refused_by_the_late_refusal_of_the_first, red before, passes.

--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -25,6 +25,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The timeout for the answer to a request for a target's health.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// How many calls that were refused or failed a connection remembers. Calls are sent again within seconds.
+const MAX_FAILED_CALLS: usize = 64;
 /// Largest body of such an answer, in bytes.
 const MAX_HEALTH_BYTES: usize = 65_536;
 
@@ -37,8 +39,8 @@
     target: String,
     used: bool,
     reused: bool,
-    /// The id of the call that was sent on it last, if it was refused or failed, so that it may be sent again.
-    failed_call: Option<String>,
+    /// The ids of the latest calls that were refused or failed on it, which may be sent again.
+    failed_calls: VecDeque<String>,
     /// The answers to batch calls that it has brought.
     trail: AnswerTrail,
 }
@@ -61,7 +63,14 @@
 
     /// Records that the call that was sent on it last was refused or failed.
     pub fn record_failure(&mut self, call: &str) {
-        self.failed_call = Some(call.to_owned());
+        if self.failed_calls.len() == MAX_FAILED_CALLS {
+            self.failed_calls.pop_front();
+        }
+        self.failed_calls.push_back(call.to_owned());
+    }
+
+    fn has_failed(&self, call: &str) -> bool {
+        self.failed_calls.iter().any(|failed| failed == call)
     }
 }
 
@@ -197,7 +206,6 @@
                     }
                     connection.reused = connection.used;
                     connection.used = true;
-                    connection.failed_call = None;
                     let response = TargetBody::of(response, &connection.progress, self.marks);
                     return Ok((connection, response));
                 }
@@ -275,7 +283,7 @@
         occupant
     }
 
-    /// Takes an idle connection to a target, but none on which `call` was refused or failed last, and none on which the body
+    /// Takes an idle connection to a target, but none on which `call` was refused or failed, and none on which the body
     /// of an earlier call is still being written: a target may answer before it has read the whole body.
     fn take(&self, address: &str, target: &str, call: Option<&str>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -290,7 +298,7 @@
             if !usable {
                 continue;
             }
-            let has_failed = call.is_some() && entry.connection.failed_call.as_deref() == call;
+            let has_failed = call.is_some_and(|call| entry.connection.has_failed(call));
             if has_failed || !entry.connection.sender.is_ready() {
                 skipped.push(entry);
             } else {
@@ -345,7 +353,7 @@
         target: target.to_owned(),
         used: false,
         reused: false,
-        failed_call: None,
+        failed_calls: VecDeque::new(),
         trail: AnswerTrail::default(),
     })
 }
