Begin no stream for a caller of HTTP/1.0

What callers saw: nothing known. A stream that breaks off ended with its connection, as a complete one does, for a caller of HTTP/1.0. Cause: without chunks, the framing does not tell the end of a stream. Why it works: such a call is refused with 400 before anything is sent, with the reason in its ended line.

--- a/crates/barleyspool_gateway/src/traffic/read_call.rs
+++ b/crates/barleyspool_gateway/src/traffic/read_call.rs
@@ -4,9 +4,10 @@
 use super::call_bounds::{Interruption, bounded};
 use super::stopping;
 use crate::failure::CallFailure;
-use barleyspool_core::{CallHead, Catalog, Reason, Route, Span, Time};
+use barleyspool_core::{CallHead, Catalog, Reason, Route, RouteKind, Span, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use std::sync::Arc;
@@ -61,6 +62,11 @@
     if organisation.is_none() && catalog.requires_key() && !route.public {
         return Err(unknown(traffic, &catalog, Reason::UnknownKey));
     }
+    if route.kind == RouteKind::Streaming && parts.version < Version::HTTP_11 {
+        // Without chunks, a stream that is broken off ends like a complete one.
+        let failure = CallFailure::not_run(Reason::InvalidCall);
+        return Err(failure.at("streams need HTTP/1.1", ""));
+    }
     // From mebibytes to bytes.
     let limit = traffic.shared.settings.body_memory_mb << 20;
     if traffic.held_bytes.get() > limit {
