Keep the connection to another node only once its answer is read

An answer that could not be read left its connection among the idle ones, from which the next send takes it unless the HTTP library has closed it by then. Shown by reading; no run that failed because of it.

--- a/crates/barleyspool_gateway/src/traffic/peer_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send.rs
@@ -7,7 +7,7 @@
 
 use super::answer_reader;
 use super::call::Call;
-use super::connections::SendFailure;
+use super::connections::{Connection, SendFailure};
 use super::send_guard::SendGuard;
 use super::target_body::TargetBody;
 use super::target_reports::{self, SentRequest};
@@ -130,9 +130,7 @@
     let (connection, response) = sent.map_err(|_| SendEnd::TimedOut)??;
     let target = response.headers().get(&TARGET_HEADER);
     let Some(target) = target.and_then(|target| target.to_str().ok()).map(str::to_owned) else {
-        let end = read_failure(call, send, response).await;
-        traffic.connections.add_idle(connection, None);
-        return Err(end);
+        return Err(read_failure(call, send, connection, response).await);
     };
     note_target(call, send, &target);
     let (mut parts, body) = response.into_parts();
@@ -157,13 +155,20 @@
     send.chosen.target = key.unwrap_or_default();
 }
 
-/// Reads why the peer returned no answer of a target. An answer that cannot be read leaves open whether the call ran.
-async fn read_failure(call: &Call, send: &mut SendGuard, response: Response<TargetBody>) -> SendEnd {
+/// Reads why the peer returned no answer of a target, and keeps the connection after that. An answer that cannot be read leaves open
+/// whether the call ran.
+async fn read_failure(
+    call: &Call,
+    send: &mut SendGuard,
+    connection: Connection,
+    response: Response<TargetBody>,
+) -> SendEnd {
     let peer = send.chosen.address.clone();
     let body = response.into_body();
     let Some(body) = answer_reader::read_whole(&call.traffic, &peer, body, MAX_FAILURE_BYTES).await else {
         return SendEnd::BrokenOff;
     };
+    call.traffic.connections.add_idle(connection, None);
     match rmp_serde::from_slice(&body.to_bytes()) {
         Ok(PeerSendFailure::Ended { target, end }) => {
             note_target(call, send, &target);
