Search bodies with a length or chunks for another answer too

Cause: as before: what a target sends on a connection was attributed by its place alone. A length says how many bytes follow, not whose they are. Status lines were looked for in headers only, and a head was read up to 4 KB before it counted. Why it works: every body is searched. The reason of a status line is checked like a header. The name of a header counts as soon as it is read.

--- a/crates/barleyspool_core/src/forward/second_answer.rs
+++ b/crates/barleyspool_core/src/forward/second_answer.rs
@@ -1,7 +1,8 @@
-//! Finds another answer in the body of an answer that ends with its connection.
+//! Finds another answer in the body of an answer.
 //!
-//! Such a body has no end of its own, so that whatever its target sends behind it looks like a part of it. The head of an answer is
-//! the only sign. See docs/DESIGN.md, "Where an answer ends".
+//! What a target sends behind a body that ends with its connection looks like a part of it. So does what it sends after a body or chunk
+//! that it has not completed, up to the length that it stated. The head of an answer is the only sign. See docs/DESIGN.md, "Where an
+//! answer ends".
 
 use memchr::{memchr, memmem};
 use serde::{Deserialize, Serialize};
@@ -37,21 +38,25 @@
 
 /// Finds the head of another answer in a body that arrives in parts.
 ///
-/// A body may be a text about HTTP, which contains heads too. Those in texts have lines that end with LF alone, and no header of the
+/// A body may be a text about HTTP, which contains heads too. Most of those have lines that end with LF alone, and no header of the
 /// targets' protocol.
 #[derive(Clone, Debug)]
 pub struct SecondAnswer {
     /// The names of headers that only answers of targets have, in lower case.
     marks: &'static [&'static str],
+    /// Whether a length or chunks tell the end of the body.
+    is_framed: bool,
     /// The last bytes of the body, if they may begin a head.
     begun: Vec<u8>,
 }
 
 impl SecondAnswer {
-    /// Begins to search a body. An answer whose head has one of the headers `marks`, in lower case, is one of a target.
-    pub fn new(marks: &'static [&'static str]) -> Self {
+    /// Begins to search a body. An answer whose head has one of the headers `marks`, in lower case, is one of a target. In a body
+    /// that is framed, only such heads count, of which the status line ends with CR LF.
+    pub fn new(marks: &'static [&'static str], is_framed: bool) -> Self {
         Self {
             marks,
+            is_framed,
             begun: Vec::new(),
         }
     }
@@ -80,7 +85,7 @@
         let mut from = 0;
         while let Some(at) = memmem::find(&bytes[from..], VERSION) {
             let begin = from + at;
-            match read_head(&bytes[begin..], self.marks) {
+            match self.read_head(&bytes[begin..]) {
                 Head::Answer => return Some(begin.saturating_sub(earlier)),
                 Head::Text(length) => from = begin + length,
                 Head::Incomplete => {
@@ -96,6 +101,48 @@
         self.begun = rest[rest.len() - begun.unwrap_or(0)..].to_vec();
         None
     }
+
+    /// Reads a head as far as it is needed to tell it from a text about HTTP. A header of it may hold another status line, with which
+    /// a head may begin too.
+    fn read_head(&self, bytes: &[u8]) -> Head {
+        match read_status_line(bytes) {
+            Head::Answer => {}
+            other => return other,
+        }
+        let head = &bytes[..bytes.len().min(MAX_HEAD_BYTES)];
+        let mut end = 0;
+        // Whether the lines end with CR LF, from a status line on.
+        let mut is_crlf = false;
+        loop {
+            let line_end = memchr(b'\n', &head[end..]);
+            let line = line_end.map_or(&head[end..], |line_end| &head[end..=end + line_end]);
+            if end > 0 {
+                let name = field_name(line);
+                let is_marked = name.is_some_and(|name| is_mark(name, self.marks));
+                let is_end = line == b"\r\n";
+                let is_answer = if self.is_framed {
+                    is_marked && is_crlf
+                } else {
+                    is_marked || (is_crlf && (name.is_some() || is_end))
+                };
+                if is_answer {
+                    return Head::Answer;
+                }
+                if name.is_none() && line_end.is_some() {
+                    return Head::Text(end);
+                }
+            }
+            if line_end.is_none() {
+                break;
+            }
+            end += line.len();
+            is_crlf = line.ends_with(b"\r\n") && (is_crlf || has_status_line(line));
+        }
+        if bytes.len() > MAX_HEAD_BYTES {
+            return Head::Text(end.max(VERSION.len()));
+        }
+        Head::Incomplete
+    }
 }
 
 /// Whether the value of a header contains a status line.
@@ -133,39 +180,6 @@
     }
 }
 
-/// Reads a head as far as it is needed to tell it from a text about HTTP. A header of it may hold another status line, with which a
-/// head may begin too.
-fn read_head(bytes: &[u8], marks: &[&str]) -> Head {
-    match read_status_line(bytes) {
-        Head::Answer => {}
-        other => return other,
-    }
-    let head = &bytes[..bytes.len().min(MAX_HEAD_BYTES)];
-    let mut end = 0;
-    let mut is_after_status = false;
-    while let Some(line_end) = memchr(b'\n', &head[end..]) {
-        let line = &head[end..=end + line_end];
-        let is_crlf = line.ends_with(b"\r\n");
-        if end > 0 {
-            let name = field_name(line);
-            let is_mark = name.is_some_and(|name| is_mark(name, marks));
-            let is_head_line = name.is_some() || line.trim_ascii().is_empty();
-            if is_mark || (is_head_line && is_after_status && is_crlf) {
-                return Head::Answer;
-            }
-            if name.is_none() {
-                return Head::Text(end);
-            }
-        }
-        end += line.len();
-        is_after_status = is_crlf && (is_after_status || has_status_line(line));
-    }
-    if bytes.len() > MAX_HEAD_BYTES {
-        return Head::Text(end.max(VERSION.len()));
-    }
-    Head::Incomplete
-}
-
 fn is_mark(name: &[u8], marks: &[&str]) -> bool {
     marks
         .iter()
--- a/crates/barleyspool_core/tests/second_answer.rs
+++ b/crates/barleyspool_core/tests/second_answer.rs
@@ -20,7 +20,7 @@
 
 /// Reads a body in parts, and also returns how many bytes precede another answer at most.
 fn read(parts: &[&[u8]]) -> (Found, usize) {
-    let mut second = SecondAnswer::new(&MARKS);
+    let mut second = SecondAnswer::new(&MARKS, false);
     let mut before = 0;
     for part in parts {
         if let Some(end) = second.find(part) {
@@ -103,6 +103,27 @@
     }
 }
 
+// Guards against a body with a length that another answer completes, and against texts with a length that are taken for answers.
+#[test]
+fn only_marked_heads_count_in_a_body_that_is_framed() {
+    for (head, is_answer) in [
+        ("HTTP/1.1 200 OK\r\nServer: t\r\nX-Id: c1\r\n", true),
+        ("HTTP/1.1 200 OK\nServer: HTTP/1.1 200 OK\r\nx-seal: s", true),
+        ("HTTP/1.1 200 OK\r\nServer: t\r\n\r\n", false),
+        ("HTTP/1.1 200 OK\nX-Id: c1\n\n", false),
+    ] {
+        let mut second = SecondAnswer::new(&MARKS, true);
+        assert_eq!(second.find(head.as_bytes()).is_some(), is_answer, "{head:?}");
+    }
+}
+
+// Guards against a head that is taken for text since its first header is long.
+#[test]
+fn a_head_with_a_long_header_is_found() {
+    let head = format!("HTTP/1.1 200 OK\r\nServer: {}\r\n\r\n", "t".repeat(5000));
+    assert_eq!(read_all_ways(head.as_bytes()), Found::Second);
+}
+
 // Guards against a long line behind a status line that is searched again with each part, and kept in memory.
 #[test]
 fn a_long_text_behind_a_status_line_is_whole() {
--- a/crates/barleyspool_gateway/src/traffic/answer_framing.rs
+++ b/crates/barleyspool_gateway/src/traffic/answer_framing.rs
@@ -1,8 +1,9 @@
 //! Where answers of targets end, and which heads are those of one answer. See docs/DESIGN.md, "Where an answer ends".
 
 use barleyspool_core::{AnswerFault, has_status_line};
-use hyper::StatusCode;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use hyper::ext::ReasonPhrase;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
 
 /// The only transfer coding that tells where a body ends.
 const CHUNKED: &[u8] = b"chunked";
@@ -18,10 +19,13 @@
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Why a head is not that of one answer whose end can be told, if it is not.
-pub fn head_fault(headers: &HeaderMap) -> Option<AnswerFault> {
-    let mut values = headers.values();
-    if values.any(|value| has_status_line(value.as_bytes())) {
+/// Why a head is not that of one answer whose end can be told, if it is not. A head that was begun before may end in its status line
+/// or in a header.
+pub fn head_fault<B>(answer: &Response<B>) -> Option<AnswerFault> {
+    let headers = answer.headers();
+    let reason = answer.extensions().get::<ReasonPhrase>();
+    let mut values = headers.values().map(HeaderValue::as_bytes);
+    if values.any(has_status_line) || reason.is_some_and(|reason| has_status_line(reason.as_bytes())) {
         return Some(AnswerFault::TwoHeads);
     }
     // The HTTP library reads a body in another coding up to the end of its connection, and does not decode it.
--- a/crates/barleyspool_gateway/src/traffic/answer_reader.rs
+++ b/crates/barleyspool_gateway/src/traffic/answer_reader.rs
@@ -19,6 +19,8 @@
     blocks: VecDeque<Bytes>,
     /// The bytes not yet taken.
     length: usize,
+    /// Whether its last bytes begin another answer.
+    ends_like_head: bool,
     held: HeldAnswer,
 }
 
@@ -28,6 +30,11 @@
         self.length
     }
 
+    /// Whether its last bytes begin another answer, as [`TargetBody::ends_like_head`].
+    pub fn ends_like_head(&self) -> bool {
+        self.ends_like_head
+    }
+
     /// Takes the next block.
     pub fn next_block(&mut self) -> Option<Bytes> {
         let block = self.blocks.pop_front()?;
@@ -102,7 +109,12 @@
         blocks.push_back(block.freeze());
     }
     held.complete();
-    Some(HeldBody { blocks, length, held })
+    Some(HeldBody {
+        blocks,
+        length,
+        ends_like_head: body.ends_like_head(),
+        held,
+    })
 }
 
 /// Reads a body and discards it; returns whether it is complete and has at most `max_bytes`.
--- a/crates/barleyspool_gateway/src/traffic/connections.rs
+++ b/crates/barleyspool_gateway/src/traffic/connections.rs
@@ -25,9 +25,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The timeout for the answer to a request for a target's health.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a connection may take to be ready behind a complete answer.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// How many calls that were refused or failed a connection remembers. Calls are sent again within seconds.
 const MAX_FAILED_CALLS: usize = 64;
-/// Largest body of such an answer, in bytes.
+/// Largest body of an answer to a request for health, in bytes.
 const MAX_HEALTH_BYTES: usize = 65_536;
 
 /// A connection to the target with the id `target`.
@@ -51,6 +53,13 @@
         self.reused
     }
 
+    /// Whether bytes have arrived behind a complete answer, for which the HTTP library ends the connection. An unfinished request
+    /// counts as such.
+    pub async fn has_more(&mut self) -> bool {
+        let ready = timer::timeout(READY_TIMEOUT, self.sender.ready()).await;
+        !matches!(ready, Ok(Ok(())))
+    }
+
     /// The address of its target.
     pub fn address(&self) -> &str {
         &self.address
@@ -201,7 +210,7 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) if !is_final(response.status()) => return Err(SendFailure::NoResult),
                 Ok(response) => {
-                    if let Some(fault) = head_fault(response.headers()) {
+                    if let Some(fault) = head_fault(&response) {
                         return Err(SendFailure::Faulty(fault));
                     }
                     connection.reused = connection.used;
@@ -374,7 +383,7 @@
     let request = request.ok()?;
     connection.sender.ready().await.ok()?;
     let answer = connection.sender.send_request(request).await.ok()?;
-    if !is_final(answer.status()) || head_fault(answer.headers()).is_some() {
+    if !is_final(answer.status()) || head_fault(&answer).is_some() {
         return None;
     }
     let (parts, body) = TargetBody::of(answer, &connection.progress, &[]).into_parts();
--- a/crates/barleyspool_gateway/src/traffic/target_body.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_body.rs
@@ -13,8 +13,10 @@
 #[derive(Debug)]
 pub struct TargetBody {
     body: LimitedBody<Incoming>,
-    /// Searches a body that ends with its connection for another answer.
-    second: Option<SecondAnswer>,
+    /// Whether a length or chunks tell its end.
+    is_framed: bool,
+    /// Searches it for another answer.
+    second: SecondAnswer,
     fault: Option<AnswerFault>,
 }
 
@@ -27,10 +29,11 @@
         marks: &'static [&'static str],
     ) -> Response<Self> {
         let (parts, body) = answer.into_parts();
-        let second = ends_with_connection(&parts.headers).then(|| SecondAnswer::new(marks));
+        let is_framed = !ends_with_connection(&parts.headers);
         let body = Self {
             body: LimitedBody::new(body, progress),
-            second,
+            is_framed,
+            second: SecondAnswer::new(marks, is_framed),
             fault: None,
         };
         Response::from_parts(parts, body)
@@ -41,6 +44,11 @@
         self.body.progress()
     }
 
+    /// Whether the last bytes begin another answer. A text may end so too; behind the beginning of an answer more bytes follow.
+    pub fn ends_like_head(&self) -> bool {
+        self.second.is_cut()
+    }
+
     /// Why it ended before its target's connection did, if it did.
     pub fn fault(&self) -> Option<AnswerFault> {
         self.fault
@@ -71,13 +79,10 @@
         }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
         let frame = frame.map(|frame| frame.map_err(BodyError::Connection));
-        let Some(second) = &mut self.second else {
-            return Poll::Ready(frame);
-        };
         let end = match &frame {
-            Some(Ok(frame)) => frame.data_ref().and_then(|data| second.find(data)),
+            Some(Ok(frame)) => frame.data_ref().and_then(|data| self.second.find(data)),
             Some(Err(_)) => None,
-            None => second.is_cut().then_some(0),
+            None => (!self.is_framed && self.second.is_cut()).then_some(0),
         };
         let Some(end) = end else {
             return Poll::Ready(frame);
@@ -94,7 +99,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.second.is_none() && self.body.is_end_stream()
+        self.is_framed && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/barleyspool_gateway/src/traffic/target_send.rs
+++ b/crates/barleyspool_gateway/src/traffic/target_send.rs
@@ -5,6 +5,7 @@
 use super::call::Call;
 use super::callers::duration;
 use super::connections::Connection;
+use super::held_answer;
 use super::peer_send;
 use super::send_guard::SendGuard;
 use super::send_request::request;
@@ -13,7 +14,7 @@
 use super::target_reports::{self, SentRequest};
 use crate::adapters::AnswerHead;
 use crate::event_log::LogEvent;
-use barleyspool_core::{AnswerId, Counter, RouteKind, SendEnd, Span};
+use barleyspool_core::{AnswerFault, AnswerId, Counter, RouteKind, SendEnd, Span};
 use barleyspool_wire::timer;
 use hyper::http::response::Parts;
 use std::time::Duration;
@@ -134,6 +135,15 @@
     }
     let body = answer_reader::read_whole(traffic, connection.address(), body, MAX_ANSWER_BYTES).await;
     let body = body.ok_or(SendEnd::BrokenOff)?;
+    if body.ends_like_head() && connection.has_more().await {
+        held_answer::record_fault(
+            traffic,
+            connection.address(),
+            AnswerFault::SecondAnswer,
+            body.length(),
+        );
+        return Err(SendEnd::BrokenOff);
+    }
     traffic.connections.add_idle(connection, keep_alive(&head));
     Ok(TargetAnswer::Buffered(parts, body, success))
 }
