--- a/crates/barleyspool_core/src/forward/mod.rs
+++ b/crates/barleyspool_core/src/forward/mod.rs
@@ -13,6 +13,7 @@
 //! target that holds the result, followed by a slash (see [`handle_address`]).
 
 mod announced_pieces;
+mod answer_fault;
 mod answer_id;
 mod answer_memory;
 mod answer_trail;
@@ -85,6 +86,7 @@
 mod wait_report;
 
 pub use announced_pieces::{ANNOUNCEMENT_TTL, AnnouncedPieces};
+pub use answer_fault::AnswerFault;
 pub use answer_id::AnswerId;
 pub use answer_memory::{AnswerDrop, AnswerKey, AnswerMemory};
 pub use answer_trail::AnswerTrail;
@@ -127,7 +129,7 @@
 pub use result_store::handle_address;
 pub use retry_schedule::{MAX_RETRY_WAIT, RefusedCall, RetrySchedule};
 pub use retry_window::RetryWindow;
-pub use second_answer::{AnswerFault, SecondAnswer, has_status_line};
+pub use second_answer::{SecondAnswer, has_status_line};
 pub use send_end::{NextStep, SendEnd, SendHistory, next_step};
 pub use service_set::ServiceSet;
 pub use service_spec::{ColdSpec, EngineSpec, ForwardService, PoolSpec};
--- a/crates/barleyspool_core/src/forward/second_answer.rs
+++ b/crates/barleyspool_core/src/forward/second_answer.rs
@@ -5,7 +5,6 @@
 //! answer ends".
 
 use memchr::{memchr, memmem};
-use serde::{Deserialize, Serialize};
 
 /// How a status line begins.
 const VERSION: &[u8] = b"HTTP/1.";
@@ -14,28 +13,6 @@
 /// How much of a head is read before the bytes are taken for text.
 const MAX_HEAD_BYTES: usize = 4096;
 
-/// Why an answer cannot be told from another one on its connection.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum AnswerFault {
-    /// Another answer follows in the body of one without a length.
-    SecondAnswer,
-    /// The head contains a status line: it joins two heads, of which the first was not completed.
-    TwoHeads,
-    /// The body has a transfer coding that does not tell where it ends.
-    TransferCoding,
-}
-
-impl AnswerFault {
-    /// The stable name shown to operators.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::SecondAnswer => "second_answer",
-            Self::TwoHeads => "two_heads",
-            Self::TransferCoding => "transfer_coding",
-        }
-    }
-}
-
 /// Finds the head of another answer in a body that arrives in parts.
 ///
 /// A body may be a text about HTTP, which contains heads too. Most of those have lines that end with LF alone, and no header of the
