Take up a stream without a name only with a list that other nodes confirm

What callers saw: a stream that began at a target of a new version, through another node, went on at a target of the version before (ORDER) when its caller took it up, without naming the call that began it, at a node that had not heard of the new targets. Reported by an operator of a like system; shown here by software_versions::out_of_step. Cause: such a stream goes on if the service has had one version only for 60 s. The node judged that by its own list, and took that list for current until the source and its readers had been silent for 3.5 s. A node that hears announcements of readers, but gets none of the data that they announce, never noticed. Why it works: the node first asks up to 16 others, whose answers hold the revisions of their lists. A node's own revision is raised before it sends a call to a target of the list, so the node that began the stream answers with a newer one. A node that is cut off, one way or both, gets no answers of a majority, and refuses the call as not run. The new test takes 64 s, since a node has to have had its list for 60 s.

--- a/crates/barleyspool_core/src/membership/event.rs
+++ b/crates/barleyspool_core/src/membership/event.rs
@@ -58,6 +58,9 @@
     /// A caller takes up a stream here. [`MemberAction::StreamFound`] or [`MemberAction::StreamUnknown`] follows, unless
     /// the nodes that were asked do not answer.
     FindStream(StreamId),
+    /// A call needs to know whether the list of targets is current. [`MemberAction::ListsCompared`] follows once all nodes that are
+    /// asked have answered, and [`super::Membership::take_list_check`] has the result.
+    CompareLists(StreamId),
     /// A planned stop of this node begins.
     Leave,
     /// The settings have new seeds.
@@ -98,6 +101,8 @@
     StreamFound(StreamRecord),
     /// No node that was asked for a stream knows it.
     StreamUnknown(StreamId),
+    /// All nodes that were asked for a call have answered with the revisions of their lists.
+    ListsCompared(StreamId),
     /// The number of nodes that this one reaches has changed.
     ReachabilityChanged,
     /// A node joined, or its health or whether it serves has changed.
--- a/crates/barleyspool_core/src/membership/mod.rs
+++ b/crates/barleyspool_core/src/membership/mod.rs
@@ -13,6 +13,7 @@
 mod event;
 mod leaving_updates;
 mod limit_updates;
+mod list_checks;
 mod member;
 mod message;
 mod probes;
--- a/crates/barleyspool_core/src/membership/receive.rs
+++ b/crates/barleyspool_core/src/membership/receive.rs
@@ -28,6 +28,7 @@
                 MessageKind::Streams { records } => self.apply_streams(now, records),
                 MessageKind::StreamAnswer { stream, record } => {
                     self.handle_stream_answer(now, from, *stream, *record);
+                    self.handle_list_answer(from, *stream, message.source);
                 }
                 _ => {}
             }
--- a/crates/barleyspool_core/src/membership/stream_updates.rs
+++ b/crates/barleyspool_core/src/membership/stream_updates.rs
@@ -12,7 +12,7 @@
 /// Number of other nodes to which a stream is reported. With the node that began it, five know it.
 const COLLECTORS: usize = 4;
 /// Number of other nodes that are asked for a stream. A fleet of up to 17 nodes is asked as a whole.
-const QUERIED: usize = 16;
+pub(super) const QUERIED: usize = 16;
 /// How long a node that was asked is waited for.
 const QUERY_TTL: Span = Span::from_secs(2);
 
--- a/crates/barleyspool_core/src/membership/table.rs
+++ b/crates/barleyspool_core/src/membership/table.rs
@@ -5,6 +5,7 @@
 use super::crash_updates::Crashes;
 use super::leaving_updates::Leaving;
 use super::limit_updates::Limits;
+use super::list_checks::ListChecks;
 use super::reach_updates::Reach;
 use super::stream_updates::Streams;
 use super::update_queue::UpdateQueue;
@@ -49,6 +50,7 @@
     pub(super) reach: Reach,
     pub(super) brittle: Brittle,
     pub(super) streams: Streams,
+    pub(super) list_checks: ListChecks,
     pub(super) reachability: Reachability,
     pub(super) probes: HashMap<u64, Probe>,
     pub(super) probe_order: VecDeque<String>,
@@ -83,6 +85,7 @@
             reach: Reach::default(),
             brittle: Brittle::default(),
             streams: Streams::default(),
+            list_checks: ListChecks::default(),
             reachability: Reachability::default(),
             members: BTreeMap::new(),
             probes: HashMap::new(),
@@ -118,6 +121,7 @@
             MemberEvent::Unreached(services) => self.set_unreached(now, services),
             MemberEvent::Stream(record) => self.handle_stream(now, record),
             MemberEvent::FindStream(stream) => self.find_stream(now, stream),
+            MemberEvent::CompareLists(call) => self.compare_lists(now, call),
             MemberEvent::Leave => self.leave(),
             MemberEvent::Seeds(seeds) => self.settings.seeds = seeds,
         }
--- a/crates/barleyspool_core/tests/membership/main.rs
+++ b/crates/barleyspool_core/tests/membership/main.rs
@@ -11,6 +11,7 @@
 mod gossip;
 mod leaving;
 mod limits;
+mod list_checks;
 mod net;
 mod reach;
 mod source_reports;
--- a/crates/barleyspool_core/tests/membership/net.rs
+++ b/crates/barleyspool_core/tests/membership/net.rs
@@ -89,7 +89,8 @@
                 | MemberAction::LimitsChanged
                 | MemberAction::ReachabilityChanged
                 | MemberAction::ReachChanged
-                | MemberAction::BrittleChanged => {
+                | MemberAction::BrittleChanged
+                | MemberAction::ListsCompared(_) => {
                     continue;
                 }
                 MemberAction::StreamFound(record) => {
--- a/crates/barleyspool_gateway/src/control/state.rs
+++ b/crates/barleyspool_gateway/src/control/state.rs
@@ -167,7 +167,9 @@
                 MemberAction::StreamFound(record) => {
                     self.stream_waiters.answer(record.stream, record.version);
                 }
-                MemberAction::StreamUnknown(stream) => self.stream_waiters.answer(stream, None),
+                MemberAction::StreamUnknown(stream) | MemberAction::ListsCompared(stream) => {
+                    self.stream_waiters.answer(stream, None);
+                }
                 MemberAction::TargetLeaves { incarnation } => leaving_incarnations.push(incarnation),
                 MemberAction::ReachabilityChanged
                 | MemberAction::ReachChanged
--- a/crates/barleyspool_gateway/src/control/stream_queries.rs
+++ b/crates/barleyspool_gateway/src/control/stream_queries.rs
@@ -45,9 +45,15 @@
     while let Some(query) = queries.recv().await {
         let state = Rc::clone(&state);
         spawn_local(async move {
-            let version = find(&state, query.stream).await;
             // The call may have ended meanwhile.
-            let _ = query.reply.send(version);
+            match query {
+                StreamQuery::Version { stream, reply } => {
+                    let _ = reply.send(find(&state, stream).await);
+                }
+                StreamQuery::ListCheck { call, reply } => {
+                    let _ = reply.send(is_list_current(&state, call).await);
+                }
+            }
         });
     }
 }
@@ -69,3 +75,16 @@
     }
     None
 }
+
+/// Whether more than half of the nodes asked answer, and none of them has a newer list of targets than this node.
+async fn is_list_current(state: &ControlState, call: StreamId) -> bool {
+    for _ in 0..ATTEMPTS {
+        let compared = state.stream_waiters.add(call);
+        state.step_members(MemberEvent::CompareLists(call));
+        if timer::timeout(ANSWER_TIMEOUT, compared).await.is_ok() {
+            break;
+        }
+    }
+    let newest = state.membership.borrow_mut().take_list_check(state.now(), call);
+    newest.is_some_and(|newest| newest <= state.held_revisions().list)
+}
--- a/crates/barleyspool_gateway/src/shared.rs
+++ b/crates/barleyspool_gateway/src/shared.rs
@@ -52,13 +52,23 @@
     Stream(StreamRecord),
 }
 
-/// A request of the traffic thread for the software version that began a stream.
+/// A request of the traffic thread about a stream that a caller takes up.
 #[derive(Debug)]
-pub struct StreamQuery {
-    /// The stream.
-    pub stream: StreamId,
-    /// Receives the version; `None` if it is unknown.
-    pub reply: oneshot::Sender<Option<VersionId>>,
+pub enum StreamQuery {
+    /// Which software version began it.
+    Version {
+        /// The stream.
+        stream: StreamId,
+        /// Receives the version; `None` if it is unknown.
+        reply: oneshot::Sender<Option<VersionId>>,
+    },
+    /// Whether other nodes confirm that this node's list of targets is current.
+    ListCheck {
+        /// The call that takes the stream up.
+        call: StreamId,
+        /// Receives whether it is.
+        reply: oneshot::Sender<bool>,
+    },
 }
 
 /// The state that the threads of a gateway share.
--- a/crates/barleyspool_gateway/src/traffic/stream_origins.rs
+++ b/crates/barleyspool_gateway/src/traffic/stream_origins.rs
@@ -12,6 +12,7 @@
 };
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 /// The retry delay of a call that takes up a stream whose version no node knows. The nodes that did not answer may do so by
@@ -102,9 +103,15 @@
 
     async fn find(&self, stream: StreamId) -> Option<VersionId> {
         let (reply, found) = oneshot::channel();
-        self.queries.send(StreamQuery { stream, reply }).ok()?;
+        self.queries.send(StreamQuery::Version { stream, reply }).ok()?;
         found.await.ok().flatten()
     }
+
+    async fn is_list_current(&self, call: StreamId) -> bool {
+        let (reply, current) = oneshot::channel();
+        let sent = self.queries.send(StreamQuery::ListCheck { call, reply });
+        sent.is_ok() && current.await.unwrap_or(false)
+    }
 }
 
 /// The version of a stream that this node relays, and when it was last reported to other nodes.
@@ -191,7 +198,7 @@
     }
     let version = match &head.stream_id {
         Some(id) => traffic.streams.find(StreamId::of(id)).await,
-        None => only_version(traffic, accepted),
+        None => only_version(traffic, accepted).await,
     };
     let origin = version.and_then(|version| find_service(&traffic.plan(), route, version));
     let line = LogEvent::StreamTakenUp {
@@ -211,16 +218,32 @@
 }
 
 /// The version of a stream whose caller does not name it: the only one that the service has had, if this node knows all of
-/// them.
-fn only_version(traffic: &Traffic, accepted: &AcceptedHeader) -> Option<VersionId> {
+/// them. Another node may have begun the stream at a target that this node has not heard of, so its list must have been current
+/// after the call arrived.
+async fn only_version(traffic: &Traffic, accepted: &AcceptedHeader) -> Option<VersionId> {
     let [share] = accepted.route.shares.as_slice() else {
         return None;
     };
     if read_call::may_be_behind(traffic, &accepted.catalog) {
         return None;
     }
-    let forwarder = traffic.forwarder.borrow();
-    forwarder.only_version(traffic.now(), &share.service)
+    let only = || {
+        let forwarder = traffic.forwarder.borrow();
+        forwarder.only_version(traffic.now(), &share.service)
+    };
+    // The other nodes are asked only where their answers matter.
+    only()?;
+    if !traffic
+        .streams
+        .is_list_current(StreamId::of(&accepted.head.id))
+        .await
+    {
+        return None;
+    }
+    // The control thread may have a newer list than this thread has applied.
+    let latest = traffic.shared.plan.load_full();
+    let is_applied = Arc::ptr_eq(&latest.targets, &traffic.plan().targets);
+    is_applied.then(only).flatten()
 }
 
 /// The service of a route with targets of this version that accept work.
