Bound the numbers of configurations and of callers

In a debug build a call's connection closed without an answer when the caller stated prompt parts of tokens three times, or when a configuration named callMs. A release build does not check for overflow and would have used wrong estimates; it was not run.

Cause: times, sizes and counts from outside were added and multiplied as they came.

Evidence: odd_entries with the product code of: "Barleyspool- Prefix-Hash: 1:4294967295,2:4294967295,3:: /safe/ ends without an answer" and "callMs=: /staged/ ends without an answer", with overflow panics in shared_tokens and admission.rs:187. Each test stops at its first failure. That the sum of two route weights and the limit of a forwarded body can overflow was found by reading; the former has an item in the test, but was not seen to fail.

--- a/crates/barleyspool_core/src/forward/call_head.rs
+++ b/crates/barleyspool_core/src/forward/call_head.rs
@@ -51,6 +51,8 @@
     /// The number of tokens of the prompt parts that other calls may share.
     pub fn shared_tokens(&self) -> u32 {
         let shared = self.prompt.len().saturating_sub(1);
-        self.prompt[..shared].iter().map(|part| part.tokens).sum()
+        let shared = self.prompt[..shared].iter();
+        // The caller states the counts, which can be anything.
+        shared.fold(0, |tokens, part| part.tokens.saturating_add(tokens))
     }
 }
--- a/crates/barleyspool_gateway/src/traffic/admission.rs
+++ b/crates/barleyspool_gateway/src/traffic/admission.rs
@@ -184,7 +184,7 @@
     let now = call.traffic.now();
     let correction = call.traffic.forecast_correction.borrow();
     let corrected = correction.corrected(now, &call.route.name, uncorrected);
-    whole.wait += Span(corrected.0 - uncorrected.0);
+    whole.wait += Span(corrected.0.saturating_sub(uncorrected.0));
     whole.base += call.expected_first_output();
     (whole, pools)
 }
--- a/crates/barleyspool_gateway/src/traffic/call.rs
+++ b/crates/barleyspool_gateway/src/traffic/call.rs
@@ -19,7 +19,7 @@
 use crate::failure::CallFailure;
 use barleyspool_core::{
     CallFingerprint, CallHead, Catalog, Counter, PartId, Reason, Route, SendHistory, Span, StageProgress,
-    Suspect, TargetKey, TargetQuery, Time, rendezvous,
+    Suspect, TargetKey, TargetQuery, Time, TrafficShare, rendezvous,
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -211,13 +211,14 @@
 
 /// Picks the service of a call at random by the weights of its route.
 fn pick_share(route: &Route) -> String {
-    let all: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let weight = |share: &TrafficShare| u64::from(share.weight);
+    let all: u64 = route.shares.iter().map(weight).sum();
     let mut point = rand::random_range(0..all.max(1));
     for share in &route.shares {
-        if point < share.weight {
+        if point < weight(share) {
             return share.service.clone();
         }
-        point -= share.weight;
+        point -= weight(share);
     }
     route
         .shares
--- a/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
+++ b/crates/barleyspool_gateway/src/traffic/peer_send_server.rs
@@ -96,7 +96,11 @@
         return None;
     }
     let catalog = traffic.plan().catalog.clone()?;
-    let limit = catalog.document.limits.max_body_bytes + MAX_HEADER_BYTES;
+    let limit = catalog
+        .document
+        .limits
+        .max_body_bytes
+        .saturating_add(MAX_HEADER_BYTES);
     let body = Limited::new(request.into_body(), limit).collect();
     let body = bounded(traffic, traffic.now() + REQUEST_TIMEOUT, body)
         .await
