Compute the depths of a call's stages once

One call to a route of 30 stages, each of which needs all earlier ones, kept its node from answering any call; the operator can write such a route, and it is valid.

Cause: the longest chain of stages after a stage was found by following all chains, of which there are 2^29 then, at each check of which stage may start. Stages whose results are lost were reset along all chains likewise.

The reset was found by reading and was not seen to fail.

A stage needs earlier ones only, so one pass from the last stage to the first gives all depths; they are computed when the call begins. A reset visits each stage once.

--- a/crates/barleyspool_core/src/forward/stage_progress.rs
+++ b/crates/barleyspool_core/src/forward/stage_progress.rs
@@ -30,9 +30,22 @@
     pieces: Vec<u32>,
     states: Vec<StageState>,
     released: Vec<bool>,
+    /// See [`Self::depth_after`]. Computed once: following all chains takes time exponential in the number of stages.
+    depths: Vec<usize>,
     recomputations: u32,
 }
 
+/// The number of stages after each stage on the longest chain from it to the call. A stage needs earlier ones only.
+fn depths_after(specs: &[StageSpec]) -> Vec<usize> {
+    let mut depths = vec![0; specs.len()];
+    for (stage, spec) in specs.iter().enumerate().rev() {
+        for &needed in &spec.needs {
+            depths[needed] = depths[needed].max(depths[stage] + 1);
+        }
+    }
+    depths
+}
+
 impl StageProgress {
     /// Tracks the stages of a route with the number of pieces that the call states for each; a stage that
     /// it does not mention has one.
@@ -49,6 +62,7 @@
             .collect();
         Self {
             released: vec![false; specs.len()],
+            depths: depths_after(specs),
             specs: specs.to_vec(),
             pieces,
             states,
@@ -131,7 +145,11 @@
                 .filter(|&stage| self.is_final(stage))
                 .collect(),
         };
+        let mut visited = vec![false; self.specs.len()];
         while let Some(stage) = pending.pop() {
+            if std::mem::replace(&mut visited[stage], true) {
+                continue;
+            }
             pending.extend(&self.specs[stage].needs);
             if self.pieces[stage] > 0 {
                 self.states[stage] = StageState::Waiting;
@@ -167,12 +185,7 @@
 
     /// The number of stages after `stage` on the longest chain from it to the call.
     pub fn depth_after(&self, stage: usize) -> usize {
-        let dependents =
-            (stage + 1..self.specs.len()).filter(|&other| self.specs[other].needs.contains(&stage));
-        dependents
-            .map(|other| 1 + self.depth_after(other))
-            .max()
-            .unwrap_or(0)
+        self.depths[stage]
     }
 
     fn is_final(&self, stage: usize) -> bool {
