Count results as released only by a whole answer to their release

After an answer of status 200 to /stage-free whose body was cut, or a late copy of an answer to a batch call, the node took the results for released and gave their room to other pieces, while their target might still hold them. Callers saw no wrong answer by it; pieces go to a target without room.

Cause: send_release counted the status alone, whether or not the answer was complete and to which request it belonged.

Now the body is read whole, an answer with results or a refusal frees nothing, and the first closes the connection.

--- a/crates/barleyspool_gateway/src/traffic/pool.rs
+++ b/crates/barleyspool_gateway/src/traffic/pool.rs
@@ -558,13 +558,20 @@
         let Ok((connection, response)) = sent else { return };
         let (parts, body) = response.into_parts();
         let head = target_reports::read_head(&traffic, batch_request(&target, sent_at), &parts);
-        let freed = parts.status.is_success();
-        if answer_reader::discard(body, MAX_ANSWER_BYTES).await && may_reuse(&connection, &head) {
+        let body = answer_reader::read_whole(&traffic, &address, body, MAX_ANSWER_BYTES).await;
+        let Some(body) = body else { return };
+        // A late copy of the answer to a batch call, behind which the answer to this request would follow.
+        if (traffic.adapters.pool.read_run_answer)(&body.to_bytes()).is_some() {
+            traffic.count(Counter::Misdirected);
+            return;
+        }
+        let is_refusal = head.not_run || head.misdirected;
+        if may_reuse(&connection, &head) {
             traffic
                 .connections
                 .add_idle(connection, Some(max_idle(&pool, None)));
         }
-        if freed {
+        if parts.status.is_success() && !is_refusal {
             pool.queue.borrow_mut().mark_freed(&handles);
             // The released results make capacity available.
             pool.wake();
