--- a/crates/barleyspool_gateway/src/lib.rs
+++ b/crates/barleyspool_gateway/src/lib.rs
@@ -30,4 +30,4 @@
 pub use pool_usages::{PoolUsages, UsageByPool};
 pub use settings::{GatewaySettings, LogSettings, RetrySettings};
 pub use shared::Shared;
-pub use traffic::{RelayItem, RelayProgress, RelayedStream};
+pub use traffic::{RelayItem, RelayProgress, RelayedStream, head_fault};
--- a/crates/barleyspool_gateway/src/traffic/mod.rs
+++ b/crates/barleyspool_gateway/src/traffic/mod.rs
@@ -41,6 +41,7 @@
 mod target_reports;
 mod target_send;
 
+pub use answer_framing::head_fault;
 pub use relay_progress::RelayProgress;
 pub use relayed_stream::{RelayItem, RelayedStream};
 
