Search for the ends of lines in streams with memchr

Cause: EventScanner read streams byte by byte, on the one thread that serves all calls. The rest of a line changes no state, so its end is searched for.

It is not what held up the sound calls of endless_bytes.

--- a/crates/barleyspool_gateway/src/traffic/event_scanner.rs
+++ b/crates/barleyspool_gateway/src/traffic/event_scanner.rs
@@ -1,5 +1,7 @@
 //! Finds the ends of events in a stream of server-sent events.
 
+use memchr::memchr2;
+
 /// The first bytes of another answer. No field of an event is named so.
 const ANSWER_START: &[u8] = b"HTTP/1.";
 /// The mark that may precede the first event of a stream.
@@ -35,7 +37,8 @@
     /// The end of the first event that ends in `bytes` from index `from` on; `None` if none does. The next call continues there, or
     /// with the bytes that follow.
     pub fn event_end(&mut self, bytes: &[u8], from: usize) -> Option<usize> {
-        for (index, byte) in bytes.iter().enumerate().skip(from) {
+        let mut index = from;
+        while let Some(byte) = bytes.get(index) {
             let after_cr = std::mem::take(&mut self.after_cr);
             let awaits_lf = std::mem::take(&mut self.awaits_lf);
             match byte {
@@ -58,8 +61,12 @@
                 _ => {
                     self.uses_cr_lf &= !after_cr;
                     self.line_empty = false;
+                    // The rest of the line changes nothing, and searching for its end is faster than reading each byte.
+                    let rest = &bytes[index + 1..];
+                    index += memchr2(b'\n', b'\r', rest).unwrap_or(rest.len());
                 }
             }
+            index += 1;
         }
         None
     }
